--- a/include/mothdoor/control.hpp
+++ b/include/anisewick/control.hpp
@@ -1,7 +1,7 @@
-// The interface of mothdoor: what a front tells its Control and what the Control asks it to do.
+// The interface of anisewick: what a front tells its Control and what the Control asks it to do.
 // All decisions are in src/control.cpp. Times are integer nanoseconds on the caller's clock.
-#ifndef MOTHDOOR_CONTROL_HPP_
-#define MOTHDOOR_CONTROL_HPP_
+#ifndef ANISEWICK_CONTROL_HPP_
+#define ANISEWICK_CONTROL_HPP_
 
 #include <cstdint>
 #include <map>
@@ -10,7 +10,7 @@
 #include <variant>
 #include <vector>
 
-namespace mothdoor {
+namespace anisewick {
 
 using Time = std::int64_t;
 
@@ -181,6 +181,6 @@
   std::unique_ptr<Impl> impl_;
 };
 
-}  // namespace mothdoor
+}  // namespace anisewick
 
-#endif  // MOTHDOOR_CONTROL_HPP_
+#endif  // ANISEWICK_CONTROL_HPP_
--- a/src/benchlink/benchlink.cpp
+++ b/src/benchlink/benchlink.cpp
@@ -13,9 +13,9 @@
 #include <utility>
 #include <vector>
 
-#include "mothdoor/control.hpp"
+#include "anisewick/control.hpp"
 
-namespace mothdoor::benchlink {
+namespace anisewick::benchlink {
 namespace {
 
 struct Malformed : std::runtime_error {
@@ -391,4 +391,4 @@
   return 0;
 }
 
-}  // namespace mothdoor::benchlink
+}  // namespace anisewick::benchlink
--- a/src/benchlink/benchlink.hpp
+++ b/src/benchlink/benchlink.hpp
@@ -1,14 +1,14 @@
-// Translates the bench's wire into calls of mothdoor::Control and its actions back. Decides nothing.
-#ifndef MOTHDOOR_BENCHLINK_HPP_
-#define MOTHDOOR_BENCHLINK_HPP_
+// Translates the bench's wire into calls of anisewick::Control and its actions back. Decides nothing.
+#ifndef ANISEWICK_BENCHLINK_HPP_
+#define ANISEWICK_BENCHLINK_HPP_
 
 #include <iosfwd>
 
-namespace mothdoor::benchlink {
+namespace anisewick::benchlink {
 
 // Reads batches until the end of `in`. Returns 0, or 1 after a malformed line, which `err` then names.
 int serve(std::istream& in, std::ostream& out, std::ostream& err);
 
-}  // namespace mothdoor::benchlink
+}  // namespace anisewick::benchlink
 
-#endif  // MOTHDOOR_BENCHLINK_HPP_
+#endif  // ANISEWICK_BENCHLINK_HPP_
--- a/src/benchlink/main.cpp
+++ b/src/benchlink/main.cpp
@@ -5,5 +5,5 @@
 int main() {
   std::ios::sync_with_stdio(false);
   std::cin.tie(nullptr);
-  return mothdoor::benchlink::serve(std::cin, std::cout, std::cerr);
+  return anisewick::benchlink::serve(std::cin, std::cout, std::cerr);
 }
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -82,18 +82,19 @@
 
 int place_of(const std::vector<std::string>& names, std::string_view name, std::string_view key) {
   const auto it = std::find(names.begin(), names.end(), name);
-  if (it == names.end()) throw Bad("'" + std::string(key) + "' has the unknown value '" + std::string(name) + "'");
+  if (it == names.end())
+    throw Bad("'" + std::string(key) + "' has the unknown value '" + std::string(name) + "'");
   return static_cast<int>(it - names.begin());
 }
 
-mothdoor::ClassSettings class_from(element e) {
-  using mothdoor::KeyScope;
-  using mothdoor::Repeat;
+anisewick::ClassSettings class_from(element e) {
+  using anisewick::KeyScope;
+  using anisewick::Repeat;
   static constexpr std::array<std::pair<std::string_view, Repeat>, 3> kRepeats{
       {{"single_shot", Repeat::kUnsafe}, {"guarded", Repeat::kKeyed}, {"free", Repeat::kSafe}}};
   static constexpr std::array<std::pair<std::string_view, KeyScope>, 3> kScopes{
       {{"all", KeyScope::kAll}, {"zone", KeyScope::kZone}, {"cell", KeyScope::kCell}}};
-  mothdoor::ClassSettings c;
+  anisewick::ClassSettings c;
   c.aim = get<std::int64_t>(e, "aim", 0);
   c.aim_stretch = get<double>(e, "aim_stretch", 0.0);
   c.deadline = get<std::int64_t>(e, "deadline", 0);
@@ -106,9 +107,8 @@
   return c;
 }
 
-mothdoor::Settings settings_from(element e, std::vector<std::string>& classes) {
-  using namespace mothdoor;
-  mothdoor::Settings s;
+anisewick::Settings settings_from(element e, std::vector<std::string>& classes) {
+  anisewick::Settings s;
   s.index = get<int>(e, "index", 0);
   s.fronts = get<int>(e, "n_instances", 1);
   s.zone = need<int>(e, "my_zone");
@@ -136,10 +136,10 @@
   s.origin_kind = get<int>(family, "store_kind", -1);
   s.client_kb_per_s = get<double>(family, "client_kb_per_s", 0.0);
   s.joins = get<bool>(family, "can_join", false);
-  s.siblings = word(family, "sideways",
-                    std::array<std::pair<std::string_view, Siblings>, 3>{{{"silent", Siblings::kNone},
-                                                                          {"location", Siblings::kLocation},
-                                                                          {"any", Siblings::kAny}}});
+  s.siblings =
+      word(family, "sideways",
+           std::array<std::pair<std::string_view, Siblings>, 3>{
+               {{"silent", Siblings::kNone}, {"location", Siblings::kLocation}, {"any", Siblings::kAny}}});
   s.notes = word(family, "notes_given",
                  std::array<std::pair<std::string_view, Notes>, 3>{
                      {{"silent", Notes::kNone}, {"hit", Notes::kHit}, {"all", Notes::kAll}}});
@@ -169,7 +169,8 @@
   return s;
 }
 
-bus::Depot depot_from(element e, const std::vector<std::string>& zones, const std::vector<std::string>& kinds) {
+bus::Depot depot_from(element e, const std::vector<std::string>& zones,
+                      const std::vector<std::string>& kinds) {
   bus::Depot d;
   const auto id = depot::id_from(need<std::string>(e, "host"));
   if (!id) throw Bad("'host' is no depot's id");
@@ -253,7 +254,8 @@
   if (const auto known = find(e, "known")) {
     c.known_number = get<std::uint64_t>(*known, "offset", 0);
     if (const auto batch = find(*known, "batch")) {
-      for (const element event : array_of(*batch, "batch")) c.known.push_back(event_from(event, zones, kinds));
+      for (const element event : array_of(*batch, "batch"))
+        c.known.push_back(event_from(event, zones, kinds));
     }
   }
   return c;
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -8,8 +8,8 @@
 #include <string_view>
 #include <vector>
 
+#include "anisewick/control.hpp"
 #include "bus/bus.hpp"
-#include "mothdoor/control.hpp"
 
 namespace anisewick::config {
 
@@ -24,7 +24,7 @@
   Endpoint bus;
   std::uint64_t memory_mb = 0;
   std::uint64_t sockets = 0;
-  mothdoor::Settings settings;
+  anisewick::Settings settings;
   std::vector<std::string> classes;  // by their place in the settings
   std::int64_t connect_timeout = 0;  // nanoseconds
   std::int64_t connection_idle = 0;  // nanoseconds
--- a/src/control.cpp
+++ b/src/control.cpp
@@ -1,9 +1,9 @@
-// The decisions of mothdoor. Interface: include/mothdoor/control.hpp.
+// The decisions of anisewick. Interface: include/anisewick/control.hpp.
 //
 // Map: tuned values / small helpers / Hotness (counting, heap, rounds) / Server (health, cold budget) /
 // Throttle (what a weak origin is still asked for) /
 // Impl: membership, purges, routing (edge cache), source choice, attempts, outcomes, the public calls.
-#include "mothdoor/control.hpp"
+#include "anisewick/control.hpp"
 
 #include <algorithm>
 #include <cmath>
@@ -11,7 +11,7 @@
 #include <set>
 #include <utility>
 
-namespace mothdoor {
+namespace anisewick {
 namespace {
 
 constexpr Time kMs = 1'000'000;
@@ -815,4 +815,4 @@
 
 void Control::purged(Time now, const Purge& purge, Actions&) { impl_->purged(now, purge); }
 
-}  // namespace mothdoor
+}  // namespace anisewick
--- a/src/depot/depot.cpp
+++ b/src/depot/depot.cpp
@@ -12,9 +12,9 @@
 constexpr std::size_t kMostBody = 1 << 20;  // objects hold at most 240,000
 
 constexpr std::array<std::string_view, 6> kWords{"DONE", "KEEP", "LACK", "WAIT", "BROKE", "PAST"};
-constexpr std::array<std::string_view, 10> kRemarks{
-    "hit", "filled", "via_origin", "joined", "stale", "src_refused", "src_broke", "src_lacks", "no_slot",
-    "origin_failed"};
+constexpr std::array<std::string_view, 10> kRemarks{"hit",     "filled",       "via_origin", "joined",
+                                                    "stale",   "src_refused",  "src_broke",  "src_lacks",
+                                                    "no_slot", "origin_failed"};
 
 template <typename T>
 bool number(std::string_view text, T& value) {
--- a/src/facade/facade.cpp
+++ b/src/facade/facade.cpp
@@ -7,43 +7,43 @@
 
 constexpr Time kMs = 1'000'000;
 
-mothdoor::Status status_of(End end) {
+anisewick::Status status_of(End end) {
   switch (end) {
     case End::kServed:
-      return mothdoor::Status::kOk;
+      return anisewick::Status::kOk;
     case End::kBroke:
-      return mothdoor::Status::kError;
+      return anisewick::Status::kError;
     case End::kFull:
-      return mothdoor::Status::kFull;
+      return anisewick::Status::kFull;
     case End::kLate:
-      return mothdoor::Status::kTimeout;
+      return anisewick::Status::kTimeout;
     case End::kUnreached:
-      return mothdoor::Status::kConnectFailed;
+      return anisewick::Status::kConnectFailed;
     case End::kReset:
-      return mothdoor::Status::kReset;
+      return anisewick::Status::kReset;
     case End::kOver:
-      return mothdoor::Status::kMoot;
+      return anisewick::Status::kMoot;
     case End::kLacks:
-      return mothdoor::Status::kMiss;
+      return anisewick::Status::kMiss;
   }
-  return mothdoor::Status::kError;
+  return anisewick::Status::kError;
 }
 
-mothdoor::Member member_from(const bus::Depot& d) {
-  mothdoor::Member m;
+anisewick::Member member_from(const bus::Depot& d) {
+  anisewick::Member m;
   m.id = depot::text_of(d.id);
   m.kind = d.kind;
   m.zone = d.zone;
   m.cell = d.cell;
   m.scale = d.weight;
   m.started_at = d.started_ms * kMs;
-  m.state = d.state == bus::State::kReady      ? mothdoor::State::kUp
-            : d.state == bus::State::kDraining ? mothdoor::State::kDraining
-                                               : mothdoor::State::kGone;
+  m.state = d.state == bus::State::kReady      ? anisewick::State::kUp
+            : d.state == bus::State::kDraining ? anisewick::State::kDraining
+                                               : anisewick::State::kGone;
   return m;
 }
 
-Step step_from(const mothdoor::Attempt& a) {
+Step step_from(const anisewick::Attempt& a) {
   Step step;
   step.what = Step::What::kSend;
   step.depot = depot::id_from(a.server).value_or(0);
@@ -58,11 +58,11 @@
 
 }  // namespace
 
-Facade::Facade(const mothdoor::Settings& settings) : control_(settings) {}
+Facade::Facade(const anisewick::Settings& settings) : control_(settings) {}
 
 Step Facade::pick(Time now, const Ask& ask) {
   open_[ask.id] = Out{};
-  mothdoor::Request r;
+  anisewick::Request r;
   r.id = ask.id;
   r.object = ask.object;
   r.part = ask.part;
@@ -77,14 +77,14 @@
 Step Facade::report(Time now, std::uint64_t id, const Report& report) {
   const auto it = open_.find(id);
   if (it == open_.end()) return {};
-  mothdoor::Outcome o;
+  anisewick::Outcome o;
   o.id = id;
   o.attempt = it->second.number;
   o.server = it->second.depot;
   o.closed = report.end == End::kServed;
   o.status = status_of(report.end);
-  o.note = report.remark >= 0 && report.remark <= 10 ? static_cast<mothdoor::Note>(report.remark)
-                                                     : mothdoor::Note::kNone;
+  o.note = report.remark >= 0 && report.remark <= 10 ? static_cast<anisewick::Note>(report.remark)
+                                                     : anisewick::Note::kNone;
   o.elapsed = now - it->second.at;
   o.first_byte = report.waited;
   if (o.closed) open_.erase(it);
@@ -111,15 +111,15 @@
 void Facade::heed(Time now, const bus::Event& event) {
   using Kind = bus::Event::Kind;
   if (event.kind == Kind::kWholeList || event.kind == Kind::kChanges) {
-    std::vector<mothdoor::Member> list;
+    std::vector<anisewick::Member> list;
     for (const bus::Depot& d : event.depots) list.push_back(member_from(d));
-    const auto kind = event.kind == Kind::kChanges ? mothdoor::ListKind::kChanges
-                      : listed_                    ? mothdoor::ListKind::kFull
-                                                   : mothdoor::ListKind::kSaved;
+    const auto kind = event.kind == Kind::kChanges ? anisewick::ListKind::kChanges
+                      : listed_                    ? anisewick::ListKind::kFull
+                                                   : anisewick::ListKind::kSaved;
     listed_ = true;
     control_.members(now, kind, list, actions_);
   } else if (event.kind == Kind::kObjectPurge || event.kind == Kind::kGroupPurge) {
-    mothdoor::Purge p;
+    anisewick::Purge p;
     p.whole_group = event.kind == Kind::kGroupPurge;
     p.object = event.object;
     p.group = event.group;
@@ -141,23 +141,23 @@
     }
     if (step.what != Step::What::kSend) open_.erase(of);
   };
-  for (const mothdoor::Action& action : actions_) {
-    if (const auto* a = std::get_if<mothdoor::Attempt>(&action)) {
+  for (const anisewick::Action& action : actions_) {
+    if (const auto* a = std::get_if<anisewick::Attempt>(&action)) {
       Out& out = open_[a->id];
       ++out.number;
       out.at = now;
       out.depot = a->server;
       settle(a->id, step_from(*a));
-    } else if (const auto* refuse = std::get_if<mothdoor::Refuse>(&action)) {
+    } else if (const auto* refuse = std::get_if<anisewick::Refuse>(&action)) {
       Step step;
       step.what = Step::What::kRefuse;
       step.come_back = refuse->hold_off;
       settle(refuse->id, step);
-    } else if (const auto* fail = std::get_if<mothdoor::Fail>(&action)) {
+    } else if (const auto* fail = std::get_if<anisewick::Fail>(&action)) {
       Step step;
       step.what = Step::What::kFail;
       settle(fail->id, step);
-    } else if (const auto* alarm = std::get_if<mothdoor::Alarm>(&action)) {
+    } else if (const auto* alarm = std::get_if<anisewick::Alarm>(&action)) {
       alarms_.emplace(now + alarm->in, alarm->token);
     }
     // Subscribe: the event bus pushes unasked. Abort: the module gives attempts up by their time limit only.
--- a/src/facade/facade.hpp
+++ b/src/facade/facade.hpp
@@ -12,9 +12,9 @@
 #include <utility>
 #include <vector>
 
+#include "anisewick/control.hpp"
 #include "bus/bus.hpp"
 #include "depot/depot.hpp"
-#include "mothdoor/control.hpp"
 
 namespace anisewick {
 
@@ -65,7 +65,7 @@
 
 class Facade {
  public:
-  explicit Facade(const mothdoor::Settings& settings);
+  explicit Facade(const anisewick::Settings& settings);
 
   Step pick(Time now, const Ask& ask);
   Step report(Time now, std::uint64_t id, const Report& report);
@@ -82,9 +82,9 @@
   };
   Step step_for(Time now, std::uint64_t id);
 
-  mothdoor::Control control_;
+  anisewick::Control control_;
   bool listed_ = false;
-  mothdoor::Actions actions_;
+  anisewick::Actions actions_;
   std::unordered_map<std::uint64_t, Out> open_;
   std::vector<std::pair<std::uint64_t, Step>> others_;  // found while another request was asked about
   using Alarm = std::pair<Time, std::uint64_t>;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -18,7 +18,8 @@
 
 using net::Error;
 
-// After SIGTERM clients keep coming for a while; only then is the end of all that is open the end of the work.
+// After SIGTERM clients keep coming for a while; only then is the end of all that is open the end of the
+// work.
 constexpr auto kServeOn = std::chrono::milliseconds(1000);
 constexpr auto kLookAgain = std::chrono::milliseconds(10);
 constexpr std::uint64_t kOtherSockets = 64;  // the listener, the bus, Asio's own and the standard streams
--- a/src/net/depot_pool.cpp
+++ b/src/net/depot_pool.cpp
@@ -287,8 +287,7 @@
 DepotPool::Handle DepotPool::send(Order order, Done done) {
   const Handle handle = next_++;
   const auto it = depots_.find(order.depot);
-  const auto link =
-      it != depots_.end() && ready(order.depot) ? link_for(it->second, order.id) : nullptr;
+  const auto link = it != depots_.end() && ready(order.depot) ? link_for(it->second, order.id) : nullptr;
   open_[handle] = {link, order.id};
   if (link != nullptr) {
     link->send(handle, std::move(order), std::move(done));
--- a/src/net/doorman.cpp
+++ b/src/net/doorman.cpp
@@ -13,7 +13,12 @@
 
 Doorman::Doorman(asio::io_context& io, Facade& facade, DepotPool& depots, Counters& counters,
                  std::vector<std::string> classes)
-    : io_(io), facade_(facade), depots_(depots), counters_(counters), classes_(std::move(classes)), ticking_(io) {}
+    : io_(io),
+      facade_(facade),
+      depots_(depots),
+      counters_(counters),
+      classes_(std::move(classes)),
+      ticking_(io) {}
 
 void Doorman::heed(const bus::Event& event) {
   using Kind = bus::Event::Kind;
--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -222,23 +222,24 @@
     out_.swap(queue_);
     step(0);
   }
-  // In steps and not all at once, so that a client that takes its answer slowly is told from one that stopped.
+  // In steps and not all at once, so that a client that takes its answer slowly is told from one that
+  // stopped.
   void step(std::size_t from) {
-    socket_.async_write_some(
-        asio::buffer(out_.data() + from, out_.size() - from),
-        [self = shared_from_this(), from](Error error, std::size_t n) {
-          if (self->closed_) return;
-          if (error) return self->close();
-          self->active_ = std::chrono::steady_clock::now();
-          self->unwritten_ -= n;
-          self->front_.held_ -= n;
-          if (from + n < self->out_.size()) return self->step(from + n);
-          self->writing_ = false;
-          if (self->queue_.empty() && self->out_.capacity() > kMostUnwritten / 4) std::string().swap(self->out_);
-          self->pump();
-          if (self->close_after_ && self->unwritten_ == 0) return self->close();
-          self->read();
-        });
+    socket_.async_write_some(asio::buffer(out_.data() + from, out_.size() - from),
+                             [self = shared_from_this(), from](Error error, std::size_t n) {
+                               if (self->closed_) return;
+                               if (error) return self->close();
+                               self->active_ = std::chrono::steady_clock::now();
+                               self->unwritten_ -= n;
+                               self->front_.held_ -= n;
+                               if (from + n < self->out_.size()) return self->step(from + n);
+                               self->writing_ = false;
+                               if (self->queue_.empty() && self->out_.capacity() > kMostUnwritten / 4)
+                                 std::string().swap(self->out_);
+                               self->pump();
+                               if (self->close_after_ && self->unwritten_ == 0) return self->close();
+                               self->read();
+                             });
   }
 
   void watch() {
--- a/tests/benchlink_test.cpp
+++ b/tests/benchlink_test.cpp
@@ -34,7 +34,7 @@
 Ran run(const std::string& text) {
   std::istringstream in(text);
   std::ostringstream out, err;
-  const int code = mothdoor::benchlink::serve(in, out, err);
+  const int code = anisewick::benchlink::serve(in, out, err);
   return {code, out.str(), err.str()};
 }
 
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -1,4 +1,4 @@
-#include "mothdoor/control.hpp"
+#include "anisewick/control.hpp"
 
 #include <gtest/gtest.h>
 
@@ -7,7 +7,7 @@
 #include <string>
 #include <vector>
 
-namespace mothdoor {
+namespace anisewick {
 namespace {
 
 constexpr Time kMs = 1'000'000;
@@ -526,4 +526,4 @@
 }
 
 }  // namespace
-}  // namespace mothdoor
+}  // namespace anisewick
--- a/tests/fuzz_test.cpp
+++ b/tests/fuzz_test.cpp
@@ -11,9 +11,9 @@
 #include <string>
 #include <vector>
 
-#include "mothdoor/control.hpp"
+#include "anisewick/control.hpp"
 
-namespace mothdoor {
+namespace anisewick {
 namespace {
 
 constexpr Time kMs = 1'000'000;
@@ -328,4 +328,4 @@
 }
 
 }  // namespace
-}  // namespace mothdoor
+}  // namespace anisewick
