--- a/src/facade/facade.cpp
+++ b/src/facade/facade.cpp
@@ -1,49 +1,55 @@
 #include "facade/facade.hpp"
 
+#include <functional>
+#include <queue>
+#include <string>
+#include <unordered_map>
 #include <variant>
 
+#include "anisewick/control.hpp"
+
 namespace anisewick {
 namespace {
 
 constexpr Time kMs = 1'000'000;
 
-anisewick::Status status_of(End end) {
+Status status_of(End end) {
   switch (end) {
     case End::kServed:
-      return anisewick::Status::kOk;
+      return Status::kOk;
     case End::kBroke:
-      return anisewick::Status::kError;
+      return Status::kError;
     case End::kFull:
-      return anisewick::Status::kFull;
+      return Status::kFull;
     case End::kLate:
-      return anisewick::Status::kTimeout;
+      return Status::kTimeout;
     case End::kUnreached:
-      return anisewick::Status::kConnectFailed;
+      return Status::kConnectFailed;
     case End::kReset:
-      return anisewick::Status::kReset;
+      return Status::kReset;
     case End::kOver:
-      return anisewick::Status::kMoot;
+      return Status::kMoot;
     case End::kLacks:
-      return anisewick::Status::kMiss;
+      return Status::kMiss;
   }
-  return anisewick::Status::kError;
+  return Status::kError;
 }
 
-anisewick::Member member_from(const bus::Depot& d) {
-  anisewick::Member m;
+Member member_from(const bus::Depot& d) {
+  Member m;
   m.id = depot::text_of(d.id);
   m.kind = d.kind;
   m.zone = d.zone;
   m.cell = d.cell;
   m.scale = d.weight;
   m.started_at = d.started_ms * kMs;
-  m.state = d.state == bus::State::kReady      ? anisewick::State::kUp
-            : d.state == bus::State::kDraining ? anisewick::State::kDraining
-                                               : anisewick::State::kGone;
+  m.state = d.state == bus::State::kReady      ? State::kUp
+            : d.state == bus::State::kDraining ? State::kDraining
+                                               : State::kGone;
   return m;
 }
 
-Step step_from(const anisewick::Attempt& a) {
+Step step_from(const Attempt& a) {
   Step step;
   step.what = Step::What::kSend;
   step.depot = depot::id_from(a.server).value_or(0);
@@ -58,11 +64,31 @@
 
 }  // namespace
 
-Facade::Facade(const anisewick::Settings& settings) : control_(settings) {}
+struct Facade::Impl {
+  struct Out {  // the attempt of a request
+    int number = -1;
+    Time at = 0;
+    std::string depot;
+  };
+  using Due = std::pair<Time, std::uint64_t>;  // an alarm and its token
+
+  explicit Impl(const Settings& settings) : control(settings) {}
+  Step step_for(Time now, std::uint64_t id);
+
+  Control control;
+  bool listed = false;
+  Actions actions;
+  std::unordered_map<std::uint64_t, Out> open;
+  std::vector<std::pair<std::uint64_t, Step>> others;  // found while another request was asked about
+  std::priority_queue<Due, std::vector<Due>, std::greater<>> alarms;
+};
+
+Facade::Facade(const Settings& settings) : impl_(std::make_unique<Impl>(settings)) {}
+Facade::~Facade() = default;
 
 Step Facade::pick(Time now, const Ask& ask) {
-  open_[ask.id] = Out{};
-  anisewick::Request r;
+  impl_->open[ask.id] = {};
+  Request r;
   r.id = ask.id;
   r.object = ask.object;
   r.part = ask.part;
@@ -70,99 +96,98 @@
   r.cls = ask.cls;
   r.group = ask.group;
   r.give_up_at = ask.give_up_at;
-  control_.request(now, r, actions_);
-  return step_for(now, ask.id);
+  impl_->control.request(now, r, impl_->actions);
+  return impl_->step_for(now, ask.id);
 }
 
 Step Facade::report(Time now, std::uint64_t id, const Report& report) {
-  const auto it = open_.find(id);
-  if (it == open_.end()) return {};
-  anisewick::Outcome o;
+  const auto it = impl_->open.find(id);
+  if (it == impl_->open.end()) return {};
+  Outcome o;
   o.id = id;
   o.attempt = it->second.number;
   o.server = it->second.depot;
   o.closed = report.end == End::kServed;
   o.status = status_of(report.end);
-  o.note = report.remark >= 0 && report.remark <= 10 ? static_cast<anisewick::Note>(report.remark)
-                                                     : anisewick::Note::kNone;
+  o.note = report.remark >= 0 && report.remark <= 10 ? static_cast<Note>(report.remark) : Note::kNone;
   o.elapsed = now - it->second.at;
   o.first_byte = report.waited;
-  if (o.closed) open_.erase(it);
-  control_.outcome(now, o, actions_);
-  return step_for(now, id);
+  if (o.closed) impl_->open.erase(it);
+  impl_->control.outcome(now, o, impl_->actions);
+  return impl_->step_for(now, id);
 }
 
 std::vector<std::pair<std::uint64_t, Step>> Facade::tick(Time now) {
-  while (!alarms_.empty() && alarms_.top().first <= now) {
-    const std::uint64_t token = alarms_.top().second;
-    alarms_.pop();
-    control_.alarm(now, token, actions_);
-    step_for(now, 0);
+  while (!impl_->alarms.empty() && impl_->alarms.top().first <= now) {
+    const std::uint64_t token = impl_->alarms.top().second;
+    impl_->alarms.pop();
+    impl_->control.alarm(now, token, impl_->actions);
+    impl_->step_for(now, 0);
   }
-  return std::exchange(others_, {});
+  return std::exchange(impl_->others, {});
 }
 
 void Facade::gone(Time now, std::uint64_t id) {
-  if (open_.erase(id) == 0) return;
-  control_.abandoned(now, id, actions_);
-  step_for(now, id);
+  if (impl_->open.erase(id) == 0) return;
+  impl_->control.abandoned(now, id, impl_->actions);
+  impl_->step_for(now, id);
 }
 
 void Facade::heed(Time now, const bus::Event& event) {
   using Kind = bus::Event::Kind;
   if (event.kind == Kind::kWholeList || event.kind == Kind::kChanges) {
-    std::vector<anisewick::Member> list;
+    std::vector<Member> list;
     for (const bus::Depot& d : event.depots) list.push_back(member_from(d));
-    const auto kind = event.kind == Kind::kChanges ? anisewick::ListKind::kChanges
-                      : listed_                    ? anisewick::ListKind::kFull
-                                                   : anisewick::ListKind::kSaved;
-    listed_ = true;
-    control_.members(now, kind, list, actions_);
+    const auto kind = event.kind == Kind::kChanges ? ListKind::kChanges
+                      : impl_->listed              ? ListKind::kFull
+                                                   : ListKind::kSaved;
+    impl_->listed = true;
+    impl_->control.members(now, kind, list, impl_->actions);
   } else if (event.kind == Kind::kObjectPurge || event.kind == Kind::kGroupPurge) {
-    anisewick::Purge p;
+    Purge p;
     p.whole_group = event.kind == Kind::kGroupPurge;
     p.object = event.object;
     p.group = event.group;
     p.age = now - event.purged_ms * kMs;
-    control_.purged(now, p, actions_);
+    impl_->control.purged(now, p, impl_->actions);
   }
-  step_for(now, 0);
+  impl_->step_for(now, 0);
 }
 
 // Empties what the module asked for: the step of the request `id` is returned, those of others are kept for
 // the next tick.
-Step Facade::step_for(Time now, std::uint64_t id) {
+Step Facade::Impl::step_for(Time now, std::uint64_t id) {
   Step own;
   const auto settle = [&](std::uint64_t of, const Step& step) {
     if (of == id) {
       own = step;
     } else {
-      others_.emplace_back(of, step);
+      others.emplace_back(of, step);
     }
-    if (step.what != Step::What::kSend) open_.erase(of);
+    if (step.what != Step::What::kSend) open.erase(of);
   };
-  for (const anisewick::Action& action : actions_) {
-    if (const auto* a = std::get_if<anisewick::Attempt>(&action)) {
-      Out& out = open_[a->id];
+  for (const Action& action : actions) {
+    if (const auto* a = std::get_if<Attempt>(&action)) {
+      Out& out = open[a->id];
       ++out.number;
       out.at = now;
       out.depot = a->server;
       settle(a->id, step_from(*a));
-    } else if (const auto* refuse = std::get_if<anisewick::Refuse>(&action)) {
+    } else if (const auto* refuse = std::get_if<Refuse>(&action)) {
       Step step;
       step.what = Step::What::kRefuse;
       step.come_back = refuse->hold_off;
       settle(refuse->id, step);
-    } else if (const auto* fail = std::get_if<anisewick::Fail>(&action)) {
+    } else if (const auto* fail = std::get_if<Fail>(&action)) {
       Step step;
       step.what = Step::What::kFail;
       settle(fail->id, step);
-    } else if (const auto* alarm = std::get_if<anisewick::Alarm>(&action)) {
-      alarms_.emplace(now + alarm->in, alarm->token);
+    } else if (const auto* alarm = std::get_if<Alarm>(&action)) {
+      alarms.emplace(now + alarm->in, alarm->token);
     }
     // Subscribe: the event bus pushes unasked. Abort: the module gives attempts up by their time limit only.
   }
-  actions_.clear();
+  actions.clear();
   return own;
 }
 
--- a/src/facade/facade.hpp
+++ b/src/facade/facade.hpp
@@ -5,19 +5,18 @@
 #define ANISEWICK_FACADE_HPP_
 
 #include <cstdint>
+#include <memory>
 #include <optional>
-#include <queue>
-#include <string>
-#include <unordered_map>
 #include <utility>
 #include <vector>
 
-#include "anisewick/control.hpp"
 #include "bus/bus.hpp"
 #include "depot/depot.hpp"
 
 namespace anisewick {
 
+struct Settings;
+
 using Time = std::int64_t;
 
 struct Ask {
@@ -65,7 +64,8 @@
 
 class Facade {
  public:
-  explicit Facade(const anisewick::Settings& settings);
+  explicit Facade(const Settings& settings);
+  ~Facade();
 
   Step pick(Time now, const Ask& ask);
   Step report(Time now, std::uint64_t id, const Report& report);
@@ -75,20 +75,8 @@
   void heed(Time now, const bus::Event& event);
 
  private:
-  struct Out {  // the attempt of a request
-    int number = -1;
-    Time at = 0;
-    std::string depot;
-  };
-  Step step_for(Time now, std::uint64_t id);
-
-  anisewick::Control control_;
-  bool listed_ = false;
-  anisewick::Actions actions_;
-  std::unordered_map<std::uint64_t, Out> open_;
-  std::vector<std::pair<std::uint64_t, Step>> others_;  // found while another request was asked about
-  using Alarm = std::pair<Time, std::uint64_t>;
-  std::priority_queue<Alarm, std::vector<Alarm>, std::greater<>> alarms_;
+  struct Impl;  // keeps the module out of the sight of those who include this
+  std::unique_ptr<Impl> impl_;
 };
 
 }  // namespace anisewick
--- a/src/fastcgi/fastcgi.cpp
+++ b/src/fastcgi/fastcgi.cpp
@@ -122,6 +122,7 @@
       events.back().request.keep_connection = a.request.keep_connection;
     }
     append_end(replies, id, EndStatus::kComplete);  // no answer is owed, but the id comes free
+    release(a);
     open_.erase(it);
     return true;
   }
@@ -131,25 +132,19 @@
     if (content.empty()) {
       a.params_done = true;
       if (!a.request.too_large && !decode_params(a.params, a.request.params)) return false;
-      std::string().swap(a.params);
-    } else if (a.params.size() + content.size() > limits_.params) {
-      a.request.too_large = true;  // bounded: what is too much is read and dropped
     } else {
-      a.params.append(content);
+      append(a, a.params, limits_.params, content);
     }
     return true;
   }
   if (!content.empty()) {
-    if (a.request.body.size() + content.size() > limits_.body) {
-      a.request.too_large = true;
-    } else {
-      a.request.body.append(content);
-    }
+    append(a, a.request.body, limits_.body, content);
     return true;
   }
   if (!a.params_done) return false;  // the body may come between the parameters, but not end before them
+  release(a);
   a.delivered = true;
-  a.request.id = id;
+  std::string().swap(a.params);
   Event event{Event::Kind::kRequest, {}};
   event.request.keep_connection = a.request.keep_connection;
   event.request.id = id;
@@ -160,6 +155,19 @@
   return true;
 }
 
+void Session::append(Assembly& a, std::string& to, std::size_t limit, std::string_view content) {
+  if (to.size() + content.size() > limit) {
+    a.request.too_large = true;  // bounded: what is too much is read and dropped
+    return;
+  }
+  to.append(content);
+  held_ += content.size();
+}
+
+void Session::release(const Assembly& a) {
+  if (!a.delivered) held_ -= a.params.size() + a.request.body.size();
+}
+
 bool Session::begin(std::uint16_t id, std::string_view content, std::string& replies) {
   if (id == 0 || content.size() != 8 || open_.contains(id)) return false;
   const unsigned role = byte_at(content, 0) << 8 | byte_at(content, 1);
--- a/src/fastcgi/fastcgi.hpp
+++ b/src/fastcgi/fastcgi.hpp
@@ -57,7 +57,8 @@
   bool feed(std::string_view bytes, std::vector<Event>& events, std::string& replies);
   // The request was answered: its id may be used again.
   void finished(std::uint16_t id) { open_.erase(id); }
-  std::size_t open() const { return open_.size(); }
+  // Bytes kept of what has not come whole yet.
+  std::size_t held() const { return pending_.size() + held_; }
 
  private:
   struct Assembly {
@@ -68,11 +69,14 @@
   };
   bool record(Type type, std::uint16_t id, std::string_view content, std::vector<Event>& events,
               std::string& replies);
+  void append(Assembly& a, std::string& to, std::size_t limit, std::string_view content);
+  void release(const Assembly& a);
   bool begin(std::uint16_t id, std::string_view content, std::string& replies);
 
   Limits limits_;
   std::string pending_;  // at most one record that has not come whole
   std::map<std::uint16_t, Assembly> open_;
+  std::size_t held_ = 0;  // in the assemblies
 };
 
 // False: a length runs past the end.
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,4 +1,5 @@
 // The doorman: reads its configuration, wires the parts together, serves until it is told to end.
+#include <algorithm>
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
@@ -22,7 +23,6 @@
 // work.
 constexpr auto kServeOn = std::chrono::milliseconds(1000);
 constexpr auto kLookAgain = std::chrono::milliseconds(10);
-constexpr std::uint64_t kOtherSockets = 64;  // the listener, the bus, Asio's own and the standard streams
 
 std::string environment(const char* name) {
   const char* value = std::getenv(name);
@@ -66,8 +66,8 @@
   static net::Front::Limits front_limits(const config::Config& c) {
     net::Front::Limits limits;
     // Half of the descriptors; clients are promised to hold at most a third.
-    limits.connections = c.sockets > 2 * kOtherSockets ? c.sockets / 2 : kOtherSockets;
-    limits.held_bytes = c.memory_mb * (std::uint64_t{1} << 20) / 3;
+    limits.connections = std::max<std::uint64_t>(8, c.sockets / 2);
+    limits.held_bytes = c.memory_mb * (std::uint64_t{1} << 20) / 4;
     return limits;
   }
 
--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -123,8 +123,8 @@
     timer_.cancel();
     socket_.shutdown(Tcp::socket::shutdown_both, ignored);
     socket_.close(ignored);
-    front_.held_ -= unwritten_;
-    unwritten_ = 0;
+    front_.held_ -= unwritten_ + assembling_;
+    unwritten_ = assembling_ = 0;
     std::vector<Ticket> left;
     for (const auto& [id, ticket] : tickets_) left.push_back(ticket);
     tickets_.clear();
@@ -153,6 +153,8 @@
     std::vector<fastcgi::Event> events;
     std::string replies;
     const bool fine = session_.feed(bytes, events, replies);
+    front_.held_ += session_.held() - assembling_;  // unsigned, and it may fall: the sum comes out right
+    assembling_ = session_.held();
     write(std::move(replies));
     for (fastcgi::Event& event : events) {
       if (closed_) return;
@@ -165,7 +167,10 @@
         answered(event.request.id, event.request.keep_connection);
       }
     }
-    if (!fine) {  // only this connection suffers
+    // Memory is bounded: too much that never comes whole is ended where it grows.
+    const bool too_much = assembling_ > 0 && front_.held_ > 2 * front_.limits_.held_bytes;
+    if (closed_) return;
+    if (!fine || too_much) {  // only this connection suffers
       ++front_.counters_.malformed;
       close();
     }
@@ -260,7 +265,8 @@
   std::chrono::steady_clock::time_point active_ = std::chrono::steady_clock::now();
   std::array<char, 16 * 1024> in_;
   std::string queue_, out_;
-  std::size_t unwritten_ = 0;  // in both
+  std::size_t unwritten_ = 0;   // in both
+  std::size_t assembling_ = 0;  // in the session
   bool reading_ = false, writing_ = false, closed_ = false, close_after_ = false;
   fastcgi::Session session_;
   std::unordered_map<std::uint16_t, Ticket> tickets_;
--- /dev/null
+++ b/tests/doorman_test.cpp
@@ -0,0 +1,629 @@
+// The program against scripted peers on real sockets: one test a rule, and one for each failure found.
+#define CATCH_CONFIG_MAIN
+#include <sys/resource.h>
+
+#include <catch2/catch.hpp>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+
+#include "depot/depot.hpp"
+#include "peers.hpp"
+
+using namespace anisewick;
+using namespace anisewick::peers;
+
+namespace {
+
+constexpr const char* kObject = "7f3a9c21e0b4d655";
+constexpr const char* kId = "9b1f03aa5c7e2d41";
+
+std::string hex16(std::uint64_t n) {
+  char text[17];
+  std::snprintf(text, sizeof text, "%016llx", static_cast<unsigned long long>(n));
+  return text;
+}
+std::string big_endian(std::uint64_t value, int bytes) {
+  std::string out;
+  for (int i = bytes - 1; i >= 0; --i) out.push_back(static_cast<char>(value >> (8 * i) & 0xff));
+  return out;
+}
+
+enum Kind { kBox, kParent, kOrigin };
+struct Depot {
+  std::uint32_t id = 0;
+  int port = 0;
+  Kind kind = kBox;
+  int state = 0;
+  std::int64_t born_ms = 0;
+  std::string json() const {
+    static const char* kStates[] = {"Ready", "Terminating", "Gone"};
+    static const char* kKinds[] = {"small-box", "parent", "origin"};
+    return R"({"host":")" + depot::text_of(id) + R"(","dial":"127.0.0.1:)" + std::to_string(port) +
+           R"(","site":")" + (kind == kBox ? "edge-1" : "main-hub") + R"(","class":")" + kKinds[kind] +
+           R"(","block":0,"health":")" + kStates[state] + R"(","share":1,"born_ms":)" +
+           std::to_string(born_ms) + "}";
+  }
+  std::string record() const {
+    return big_endian(id, 4) + big_endian(0x7f000001, 4) + big_endian(static_cast<std::uint64_t>(port), 2) +
+           big_endian(static_cast<std::uint64_t>(state), 1) + big_endian(kind == kBox ? 1 : 0, 1) +
+           big_endian(kind, 1) + big_endian(0, 2) + big_endian(1000, 4) +
+           big_endian(static_cast<std::uint64_t>(born_ms), 8);
+  }
+};
+
+// What a depot hears.
+struct Heard {
+  std::size_t depot = 0;
+  Stream* on = nullptr;
+  std::string verb, id, body;
+  std::map<std::string, std::string> fields;
+  void say(const std::string& word, const std::string& fields_said = "-",
+           const std::string& bytes = "") const {
+    on->write(id + " " + word + " " + fields_said + " " + std::to_string(bytes.size()) + "\r\n" + bytes +
+              "\r\n");
+  }
+};
+
+// Two caches of the doorman's own centre, whose every line the test reads and answers.
+class Caches {
+ public:
+  explicit Caches(bool first_listens = true) {
+    listeners_.push_back(std::make_unique<Listener>(first_listens));
+    listeners_.push_back(std::make_unique<Listener>());
+  }
+  int port(std::size_t i) const { return listeners_.at(i)->port(); }
+  Heard next() {
+    for (;;) {
+      for (auto& [depot, stream] : streams_) {
+        if (stream.buffered()) return heard(depot, stream);
+      }
+      std::vector<pollfd> fds;
+      for (const auto& l : listeners_) fds.push_back({l->fd(), POLLIN, 0});
+      for (auto& [depot, stream] : streams_) fds.push_back({stream.fd(), POLLIN, 0});
+      if (::poll(fds.data(), fds.size(), kLimitMs) <= 0) throw std::runtime_error("no depot heard anything");
+      for (std::size_t i = 0; i < streams_.size(); ++i) {
+        auto& [depot, stream] = streams_[i];
+        if ((fds[listeners_.size() + i].revents & POLLIN) == 0) continue;
+        if (readable(stream.fd(), 0) && at_end(stream)) {
+          stream = Stream();
+          continue;
+        }
+        return heard(depot, stream);
+      }
+      for (std::size_t i = 0; i < listeners_.size(); ++i) {
+        if ((fds[i].revents & POLLIN) != 0) streams_.emplace_back(i, listeners_[i]->accept());
+      }
+    }
+  }
+  std::size_t accepted() const { return streams_.size(); }
+
+ private:
+  static bool at_end(const Stream& s) {
+    char c;
+    return ::recv(s.fd(), &c, 1, MSG_PEEK) <= 0;
+  }
+  static Heard heard(std::size_t depot, Stream& stream) {
+    Heard h;
+    h.depot = depot;
+    h.on = &stream;
+    std::istringstream words(stream.line());
+    std::string fields, field;
+    std::size_t length = 0;
+    words >> h.verb >> h.id >> fields >> length;
+    if (h.verb != "fetch") return h;
+    h.body = stream.take(length + 2).substr(0, length);
+    std::istringstream list(fields);
+    while (std::getline(list, field, ','))
+      h.fields[field.substr(0, field.find('='))] = field.substr(field.find('=') + 1);
+    return h;
+  }
+
+  std::vector<std::unique_ptr<Listener>> listeners_;
+  std::deque<std::pair<std::size_t, Stream>> streams_;
+};
+
+class Site {
+ public:
+  explicit Site(const std::string& known_more = "", bool first_listens = true, bool listed = true)
+      : caches(first_listens) {
+    depots = {{1, caches.port(0)}, {2, caches.port(1)}, {8, 9, kParent}, {9, 9, kOrigin}};
+    std::string hosts, batch;
+    for (const Depot& d : depots) hosts += (hosts.empty() ? "" : ",") + d.json();
+    if (listed)
+      batch = R"({"offset":1,"topology":{"seq":1,"whole":true,"hosts":[)" + hosts + "]}}" + known_more;
+    number_ = listed ? 1 : 0;
+    config_ = R"({"name":"n0","listen":"127.0.0.1:1","seed":"8c1f30d27a5be964",
+      "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"bus":"127.0.0.1:)" +
+              std::to_string(bus_.port()) + R"(","known":{"offset":)" + std::to_string(number_) +
+              R"(,"batch":[)" + batch +
+              R"(]},"settings":{"my_zone":1,"n_instances":1,"index":0,"zones":["main-hub","edge-1"],
+      "machine_types":["small-box","parent","origin"],"weight_source":"nominal","tick":2000000,
+      "categories":[{"name":"slot-page","aim":400000000,"aim_stretch":2.0,
+        "deadline":9000000000,"repeat":"free"},
+        {"name":"book-slot","aim":600000000,"deadline":9000000000,"repeat":"single_shot"}],
+      "family_info":{"class_fresh":[8000000000,0],"grace_for":[0,0],"never_kept":[false,true],"mid_kind":1,
+        "store_kind":2,"client_kb_per_s":10500.0,"can_join":true,"notes_given":"all","zone_hub":[0,0],
+        "seats_by_zone":[0,1],"purge_settles":6000000000,"purge_grace":1000000000,"upper_cold_from":0.061,
+        "upper_cold":22000000000,"parent_fall_multiple":2.0},
+      "rules":{"cold_from":0.2,"ramp_time":16000000000,"fall_multiple":3.0,"fall":1000000000},
+      "limits":{"max_attempts":8,"max_retry_after":1000000000,"connect_timeout":400000000,
+        "conn_idle":30000000000,"max_streams":100}}})";
+  }
+  ~Site() {
+    if (!path_.empty()) ::unlink(path_.c_str());
+  }
+
+  void start() {
+    char path[] = "/tmp/anisewick-test-XXXXXX";
+    const Fd file(::mkstemp(path));
+    path_ = path;
+    std::ofstream(path_) << config_;
+    program =
+        std::make_unique<Program>(ANISEWICK_PROGRAM, path_, "127.0.0.1:" + std::to_string(front_.port()));
+    bus = bus_.accept();
+    hello = bus.take(8);
+  }
+  Stream client() { return Stream::to(front_.port()); }
+  Answer health() {
+    Stream s = client();
+    Ask ask;
+    ask.path = "/_health";
+    ask.cls = "";
+    s.write(request(1, ask));
+    return answer(s);
+  }
+  // Tells an event, and waits until it has been taken in.
+  void tell(int kind, const std::string& payload, const std::string& counter) {
+    const std::string content = big_endian(++number_, 8) + std::string(1, static_cast<char>(kind)) + payload;
+    bus.write(big_endian(content.size(), 4) + content);
+    while (program->counters().find(counter) == std::string::npos) {
+    }
+  }
+  void reconnected() {
+    bus = bus_.accept();
+    hello = bus.take(8);
+  }
+
+  Caches caches;
+  std::vector<Depot> depots;
+  std::unique_ptr<Program> program;
+  Stream bus;
+  std::string hello;
+
+ private:
+  Listener bus_;
+  Listener front_{false};  // holds the port for the program
+  std::string config_, path_;
+  std::uint64_t number_ = 0;
+};
+
+Ask booking(int patience_ms = 10'000) {
+  Ask a;
+  a.cls = "book-slot";
+  a.patience_ms = patience_ms;
+  a.body = "seat=7";
+  return a;
+}
+Ask numbered(int n) {
+  Ask a;
+  a.id = hex16(0x1000u + static_cast<unsigned>(n));
+  a.object = hex16(0xabc000u + static_cast<unsigned>(n));
+  return a;
+}
+bool failed(const Answer& a) {
+  return a.protocol == 0 && a.has("Status: 5") && !a.has("503") && !a.has("X-Come-Back-Ms");
+}
+
+}  // namespace
+
+TEST_CASE("Requests on one connection each get one whole answer, in the order of the depots") {
+  Site site;
+  site.start();
+  CHECK(site.hello == big_endian(1, 8));
+  CHECK(site.health().has("Status: 200"));
+  Stream client = site.client();
+  const Ask second = numbered(2);
+  client.write(request(1) + request(7, second));
+  const Heard one = site.caches.next(), two = site.caches.next();
+  const bool swapped = one.id != kId;
+  const Heard& first = swapped ? two : one;
+  CHECK(
+      (first.id == kId && first.fields.at("profile") == "slot-page" && first.fields.at("thing") == kObject));
+  CHECK((first.fields.at("nth") == "0" && first.fields.at("from") == "s-00000008"));
+  CHECK((first.fields.at("mode") == "collapse" && !first.fields.contains("oldest")));
+  CHECK((std::stoi(first.fields.at("max")) > 1000 && std::stoi(first.fields.at("max")) <= 10'000));
+  std::string big;
+  for (int i = 0; i < 240'000; ++i) big.push_back(static_cast<char>(i * 31 >> 3));
+  (swapped ? one : two).say("DONE", "ver=1,born=1,remark=hit", "small");
+  CHECK(answer(client).body == "small");
+  first.say("DONE", "ver=1,born=1,remark=filled,waited=3", big);
+  const Answer whole = answer(client);
+  CHECK((whole.id == 1 && whole.has("Status: 200") && whole.body == big));
+}
+
+TEST_CASE("A client's own copy that holds is answered without bytes") {
+  Site site;
+  site.start();
+  Stream client = site.client();
+  Ask ask;
+  ask.tag = "4be0c1927d55a6f3";
+  client.write(request(1, ask));
+  const Heard h = site.caches.next();
+  CHECK(h.fields.at("seen") == "4be0c1927d55a6f3");
+  h.say("KEEP", "ver=4be0c1927d55a6f3,born=1,remark=hit");
+  const Answer a = answer(client);
+  CHECK((a.has("Status: 200") && a.has("X-Ok304: 1") && a.body.empty()));
+}
+
+TEST_CASE("A booking that may have run is never sent again and never refused") {
+  Site site;
+  site.start();
+  Stream client = site.client();
+  const std::vector<std::pair<std::string, std::function<void(const Heard&)>>> endings{
+      {"BROKE", [](const Heard& h) { h.say("BROKE", "remark=origin_failed"); }},
+      {"nonsense", [](const Heard& h) { h.on->write("what\r\n"); }},
+      {"silence", [](const Heard&) {}},
+      {"reset", [](const Heard& h) { h.on->reset(); }},
+  };
+  for (const auto& [what, end] : endings) {
+    INFO(what);
+    client.write(request(1, booking(what == "silence" ? 900 : 10'000)));
+    const Heard h = site.caches.next();
+    CHECK((h.verb == "fetch" && h.body == "seat=7"));
+    end(h);
+    CHECK(failed(answer(client)));
+    if (what == "silence") CHECK(site.caches.next().verb == "abort");
+    // The next thing that any depot hears is another request: the booking went nowhere else.
+    client.write(request(1, numbered(1)));
+    const Heard after = site.caches.next();
+    CHECK(after.id == numbered(1).id);
+    after.say("DONE", "remark=hit", "x");
+    CHECK(answer(client).body == "x");
+  }
+}
+
+TEST_CASE("A booking that never ran is tried elsewhere") {
+  Site site;
+  site.start();
+  Stream client = site.client();
+  for (const char* word : {"WAIT", "LACK", "PAST"}) {
+    INFO(word);
+    client.write(request(1, booking()));
+    const Heard first = site.caches.next();
+    first.say(word);
+    const Heard second = site.caches.next();
+    CHECK((second.id == first.id && second.depot != first.depot && second.body == "seat=7"));
+    second.say("DONE", "-", "booked");
+    CHECK(answer(client).body == "booked");
+  }
+}
+
+TEST_CASE("A depot that cannot be reached proves that nothing ran") {
+  const bool silent = GENERATE(false, true);
+  INFO((silent ? "silent" : "refused"));
+  Site site("", false);
+  std::vector<Stream> fillers;
+  std::unique_ptr<Listener> full;
+  if (silent) {  // a full queue of connections: new ones never come up
+    full = std::make_unique<Listener>(true, site.caches.port(0));
+    ::listen(full->fd(), 0);
+    fillers.push_back(Stream::to(full->port()));
+  }
+  site.start();
+  Stream client = site.client();
+  for (int n = 0; n < 8; ++n) {
+    Ask ask = numbered(n);
+    ask.cls = "book-slot";
+    client.write(request(1, ask));
+    const Heard h = site.caches.next();
+    CHECK((h.depot == 1 && h.id == ask.id));
+    h.say("DONE", "-", "booked");
+    CHECK(answer(client).body == "booked");
+  }
+  CHECK(site.program->counters().find("unreached=0 ") == std::string::npos);
+}
+
+TEST_CASE("What the decisions give up is refused at once and told when to come back") {
+  Site site;
+  site.start();
+  Stream client = site.client();
+  client.write(request(1));
+  site.caches.next().say("WAIT");
+  Answer a;
+  for (int n = 0; n < 7; ++n) {  // at most 8 attempts, and then a refusal, whatever time is left
+    const Heard h = site.caches.next();
+    REQUIRE(h.id == kId);
+    h.say("WAIT");
+  }
+  a = answer(client);
+  REQUIRE((a.has("Status: 503") && a.has("X-Come-Back-Ms: ")));
+  const int ms = std::stoi(a.head.substr(a.head.find("X-Come-Back-Ms: ") + 16));
+  CHECK((ms > 0 && ms <= 1000));
+}
+
+TEST_CASE("A depot that drains gets nothing new, neither as cache nor as source") {
+  Site site;
+  site.start();
+  Stream client = site.client();
+  client.write(request(1));
+  const Heard before = site.caches.next();
+  CHECK(before.fields.at("from") == "s-00000008");
+  Depot cache = site.depots[before.depot], parent = site.depots[2];
+  cache.state = parent.state = 1;
+  site.tell(2, cache.record() + parent.record(), "lists=2 ");
+  before.say("DONE", "remark=hit", "still whole");  // what it has taken it may finish
+  CHECK(answer(client).body == "still whole");
+  for (int n = 0; n < 12; ++n) {
+    client.write(request(1, numbered(n)));
+    const Heard h = site.caches.next();
+    CHECK((h.depot != before.depot && h.fields.at("from") == "s-00000009"));
+    h.say("DONE", "remark=hit", "x");
+    answer(client);
+  }
+}
+
+TEST_CASE("A cold cache and a cold parent are asked for little") {
+  Site site;
+  site.start();
+  Depot cache = site.depots[0], parent = site.depots[2];
+  cache.born_ms = parent.born_ms = now_ms();
+  site.tell(2, cache.record() + parent.record(), "lists=2 ");
+  Stream one = site.client(), two = site.client();
+  for (int n = 0; n < 60; ++n) (n % 2 ? one : two).write(request(1 + n / 2, numbered(n)));
+  int cold = 0, filled = 0;
+  for (int n = 0; n < 60; ++n) {
+    const Heard h = site.caches.next();
+    cold += h.depot == 0;
+    filled += h.fields.contains("from") && h.fields.at("from") == "s-00000008";
+  }
+  // Of the second in which it may get 3 x 20% of its link: 412.5 KB at 10,500 KB a second are 39 ms each.
+  CHECK((cold > 0 && cold <= 15));
+  CHECK(filled <= 3);
+}
+
+TEST_CASE("No copy from before a purge will do, known at the start or told later") {
+  const std::int64_t then = now_ms() - 700;
+  Site site(R"(,{"offset":2,"ban":{"url":"00000000000000aa","ts":)" + std::to_string(then) +
+            R"(}},{"offset":3,"ban":{"tag":5,"ts":)" + std::to_string(then) + "}}");
+  site.start();
+  Stream client = site.client();
+  const auto check = [&](const std::string& object, int group, std::int64_t purged) {
+    Ask ask;
+    ask.object = object;
+    ask.group = group;
+    client.write(request(1, ask));
+    const Heard h = site.caches.next();
+    INFO("object " << object << " of group " << group);
+    CHECK(h.fields.contains("oldest") == (purged != 0));
+    if (purged != 0) CHECK(std::stoll(h.fields.at("oldest")) <= std::max<std::int64_t>(1, now_ms() - purged));
+    if (purged != 0) CHECK(std::stoll(h.fields.at("oldest")) >= 1);
+    h.say("DONE", "remark=hit", "x");
+    answer(client);
+  };
+  check("00000000000000aa", 1, then);
+  check("00000000000000ab", 5, then);
+  check("00000000000000ab", 6, 0);
+  const std::int64_t later = now_ms();
+  site.tell(3, big_endian(0xac, 8) + big_endian(static_cast<std::uint64_t>(later), 8), "purges=3 ");
+  check("00000000000000ac", 1, later);
+  site.tell(4, big_endian(6, 2) + big_endian(static_cast<std::uint64_t>(later), 8), "purges=4 ");
+  check("00000000000000ab", 6, later);
+  check("00000000000000ad", 7, 0);
+}
+
+TEST_CASE("An attempt out of time is aborted, the next one goes elsewhere, and a late answer is dropped") {
+  Site site;
+  site.start();
+  Stream client = site.client();
+  Ask ask;
+  ask.patience_ms = 3000;
+  client.write(request(1, ask));
+  const Heard first = site.caches.next();
+  // The depot says something meanwhile, so that its connection is not taken for one to a vanished machine.
+  for (int n = 0;; ++n) {
+    client.write(request(2, numbered(n)));
+    const Heard other = site.caches.next();
+    other.say("DONE", "remark=hit", "other");
+    answer(client);
+    if (other.on == first.on) break;
+  }
+  Heard abort = site.caches.next(), second = site.caches.next();
+  if (abort.verb != "abort") std::swap(abort, second);  // on two connections either may be read first
+  CHECK((abort.verb == "abort" && abort.id == first.id && abort.depot == first.depot));
+  CHECK((second.verb == "fetch" && second.id == first.id && second.depot != first.depot));
+  first.say("DONE", "remark=hit", "late");
+  while (site.program->counters().find("late_answers=1 ") == std::string::npos) {
+  }
+  second.say("DONE", "remark=hit", "right");
+  CHECK(answer(client).body == "right");
+}
+
+TEST_CASE("A depot that fell silent is asked next on a new connection") {
+  Site site;
+  site.start();
+  Stream client = site.client();
+  client.write(request(1, booking(900)));
+  const Heard silent = site.caches.next();
+  CHECK(failed(answer(client)));
+  CHECK(site.caches.next().verb == "abort");
+  for (;;) {
+    client.write(request(1, booking()));
+    const Heard next = site.caches.next();
+    next.say("DONE", "-", "booked");
+    CHECK(answer(client).body == "booked");
+    if (next.depot != silent.depot) continue;
+    CHECK(next.on != silent.on);
+    break;
+  }
+}
+
+TEST_CASE("A client that leaves is owed nothing, and its attempt is given up") {
+  Site site;
+  site.start();
+  const bool aborts = GENERATE(true, false);
+  Stream client = site.client();
+  client.write(request(1) + request(2, numbered(2)));
+  const Heard one = site.caches.next(), two = site.caches.next();
+  if (!aborts) {
+    client.reset();
+    CHECK((site.caches.next().verb == "abort" && site.caches.next().verb == "abort"));
+    return;
+  }
+  client.write(record(2, 1, ""));
+  const Heard abort = site.caches.next();
+  CHECK((abort.verb == "abort" && abort.id == kId));
+  const Answer end = answer(client);
+  CHECK((end.id == 1 && end.head.empty()));
+  (one.id == kId ? one : two).say("DONE", "remark=hit", "late");
+  (one.id == kId ? two : one).say("DONE", "remark=hit", "other");
+  const Answer other = answer(client);
+  CHECK((other.id == 2 && other.body == "other"));
+}
+
+TEST_CASE("Malformed input closes that connection only, and what cannot be passed on is answered") {
+  Site site;
+  site.start();
+  Stream good = site.client(), bad = site.client();
+  good.write(request(1));
+  const Heard h = site.caches.next();
+  bad.write("GET / HTTP/1.1\r\n\r\n");
+  CHECK(bad.ends());
+  h.say("DONE", "remark=hit", "whole");
+  CHECK(answer(good).body == "whole");
+  std::vector<Ask> wrong(5);
+  wrong[0].id = "short";
+  wrong[1].object = "7f3a9c21e0b4d65z";
+  wrong[2].cls = "slot-page x=1";
+  wrong[3].cls = "unknown";
+  wrong[4].path = "/other/";
+  for (const Ask& ask : wrong) {
+    good.write(request(1, ask));
+    CHECK(answer(good).has("Status: 4"));
+  }
+}
+
+TEST_CASE("A slow reader gets every byte and holds up nobody") {
+  Site site;
+  site.start();
+  Stream slow = site.client(), quick = site.client();
+  const std::string big(240'000, 'b');
+  std::set<int> ids;
+  for (int n = 0; n < 32; ++n) {
+    slow.write(request(n + 1, numbered(n)));
+    site.caches.next().say("DONE", "remark=hit", big);
+  }
+  quick.write(request(1));
+  site.caches.next().say("DONE", "remark=hit", "quick");
+  CHECK(answer(quick).body == "quick");
+  for (int n = 0; n < 32; ++n) {
+    const Answer a = answer(slow);
+    CHECK(a.body == big);
+    ids.insert(a.id);
+  }
+  CHECK(ids.size() == 32);
+}
+
+TEST_CASE("Ready only once the list of depots is there") {
+  Site site("", true, false);
+  site.start();
+  CHECK(site.health().has("Status: 503"));
+  std::string list;
+  for (const Depot& d : site.depots) list += d.record();
+  site.tell(1, list, "lists=1 ");
+  CHECK(site.health().has("Status: 200"));
+}
+
+TEST_CASE("A lost event bus is joined again from the last number") {
+  Site site;
+  site.start();
+  site.tell(2, site.depots[0].record(), "lists=2 ");
+  site.bus.reset();
+  site.reconnected();
+  CHECK(site.hello == big_endian(2, 8));
+  site.bus.write("\x7f\xff\xff\xff nonsense");
+  site.reconnected();
+  CHECK(site.hello == big_endian(2, 8));
+}
+
+TEST_CASE("A depot that restarts, or a new one at its address, gets new connections") {
+  const bool restarts = GENERATE(true, false);
+  Site site;
+  site.start();
+  Stream client = site.client();
+  std::size_t asked = 2;
+  const auto both = [&] {  // a request to each of the two
+    std::set<std::size_t> seen;
+    for (int n = 0; n < 40 && seen.size() < 2; ++n) {
+      client.write(request(1, numbered(n)));
+      const Heard h = site.caches.next();
+      seen.insert(h.depot);
+      h.say("DONE", "remark=hit", "x");
+      answer(client);
+    }
+    CHECK(seen.size() == 2);
+  };
+  both();
+  CHECK(site.caches.accepted() == asked);
+  Depot old = site.depots[0], fresh = old;
+  fresh.born_ms = now_ms() - 3000;
+  if (!restarts) {
+    old.state = 2;
+    fresh.id = 77;
+  }
+  site.tell(2, (restarts ? "" : old.record()) + fresh.record(), "lists=2 ");
+  both();
+  CHECK(site.caches.accepted() == asked + 1);
+}
+
+TEST_CASE("Out of descriptors, it serves on once some are free") {
+  Site site;
+  rlimit usual{};
+  ::getrlimit(RLIMIT_NOFILE, &usual);
+  const rlimit few{40, usual.rlim_max};
+  ::setrlimit(RLIMIT_NOFILE, &few);
+  site.start();
+  ::setrlimit(RLIMIT_NOFILE, &usual);
+  std::vector<Stream> many;
+  for (int n = 0; n < 60; ++n) many.push_back(site.client());
+  CHECK(site.program->running());
+  many.clear();
+  CHECK(site.health().has("Status: 200"));
+}
+
+TEST_CASE("After SIGTERM it takes and finishes what comes, then exits with 0") {
+  Site site;
+  site.start();
+  Stream before = site.client();
+  before.write(request(1));
+  const Heard h = site.caches.next();
+  const auto told = std::chrono::steady_clock::now();
+  site.program->signal(SIGTERM);
+  Stream after = site.client();
+  after.write(request(1, numbered(1)));
+  site.caches.next().say("DONE", "remark=hit", "new");
+  CHECK(answer(after).body == "new");
+  while (std::chrono::steady_clock::now() - told < std::chrono::milliseconds(1300)) readable(after.fd(), 50);
+  CHECK(site.program->running());  // one is still open
+  h.say("DONE", "remark=hit", "finished");
+  CHECK(answer(before).body == "finished");
+  const auto [code, said] = site.program->wait();
+  CHECK(code == 0);
+  CHECK(said.find("taken=2 ") != std::string::npos);
+  CHECK(said.find("served=2 ") != std::string::npos);
+}
+
+TEST_CASE("A bad configuration is one plain line and no start") {
+  char path[] = "/tmp/anisewick-test-XXXXXX";
+  const Fd file(::mkstemp(path));
+  std::ofstream(path) << "{\"listen\":1}";
+  for (const std::string& config : std::vector<std::string>{"", "/nowhere", path}) {
+    Program program(ANISEWICK_PROGRAM, config, "127.0.0.1:0");
+    const auto [code, said] = program.wait();
+    INFO(said);
+    CHECK((code > 0 && said.starts_with("anisewick: ") && said.find('\n') + 1 == said.size()));
+  }
+  ::unlink(path);
+}
--- /dev/null
+++ b/tests/facade_test.cpp
@@ -0,0 +1,130 @@
+// The facade: what a report leads to, in plain values.
+#define CATCH_CONFIG_MAIN
+#include "facade/facade.hpp"
+
+#include <catch2/catch.hpp>
+#include <string>
+
+#include "anisewick/control.hpp"
+
+using namespace anisewick;
+using What = Step::What;
+
+namespace {
+
+constexpr Time kMs = 1'000'000;
+constexpr Time kStart = 1'764'576'000'000 * kMs;
+
+Settings settings() {
+  Settings s;
+  s.seed = 5;
+  ClassSettings page;
+  page.aim = 400 * kMs;
+  page.deadline = 2500 * kMs;
+  page.fresh = 8000 * kMs;
+  ClassSettings booking = page;
+  booking.fresh = 0;
+  booking.repeat = Repeat::kUnsafe;
+  booking.never_kept = true;
+  s.classes = {page, booking};
+  s.zone = 1;
+  s.zone_hub = {0, 0};
+  s.zone_fronts = {0, 1};
+  s.parent_kind = 1;
+  s.origin_kind = 2;
+  s.client_kb_per_s = 10'500.0;
+  s.joins = true;
+  s.notes = Notes::kAll;
+  s.purge_settle = 6000 * kMs;
+  s.max_attempts = 8;
+  s.max_retry_after = 1000 * kMs;
+  s.tick = 2 * kMs;
+  return s;
+}
+bus::Event list() {
+  bus::Event e;
+  e.kind = bus::Event::Kind::kWholeList;
+  const auto add = [&](std::uint32_t id, int zone, int kind) {
+    bus::Depot d;
+    d.id = id;
+    d.zone = zone;
+    d.kind = kind;
+    e.depots.push_back(d);
+  };
+  add(1, 1, 0);
+  add(2, 1, 0);
+  add(3, 0, 0);  // of another centre
+  add(8, 0, 1);
+  add(9, 0, 2);
+  return e;
+}
+Ask ask(int cls, std::uint64_t id = 1) { return {id, 0xabc, 0, 100.0, cls, 17, kStart + 2000 * kMs}; }
+
+}  // namespace
+
+TEST_CASE("What each end of an attempt leads to") {
+  struct Case {
+    End end;
+    What page, booking;
+  };
+  const std::vector<Case> cases{
+      {End::kServed, What::kWait, What::kWait},    {End::kBroke, What::kSend, What::kFail},
+      {End::kFull, What::kSend, What::kSend},      {End::kLate, What::kSend, What::kFail},
+      {End::kUnreached, What::kSend, What::kSend}, {End::kReset, What::kSend, What::kFail},
+      {End::kOver, What::kSend, What::kSend},      {End::kLacks, What::kSend, What::kSend},
+  };
+  for (const Case& c : cases) {
+    for (const int cls : {0, 1}) {
+      INFO("end " << static_cast<int>(c.end) << " of class " << cls);
+      Facade facade(settings());
+      facade.heed(kStart, list());
+      const Step first = facade.pick(kStart, ask(cls));
+      REQUIRE((first.what == What::kSend && first.depot <= 2));
+      CHECK((first.until > kStart && first.until < kStart + 2000 * kMs));
+      CHECK(first.source == (cls == 0 ? 8u : 9u));
+      const Step next = facade.report(kStart + 5 * kMs, 1, {c.end, 0, 0});
+      CHECK(next.what == (cls == 0 ? c.page : c.booking));
+      if (next.what == What::kSend) CHECK((next.depot <= 2 && next.depot != first.depot));
+    }
+  }
+}
+
+TEST_CASE("At most so many attempts, then a refusal that says when to come back") {
+  Facade facade(settings());
+  facade.heed(kStart, list());
+  Step step = facade.pick(kStart, ask(0));
+  int sent = 0;
+  for (; step.what == What::kSend; ++sent) step = facade.report(kStart + sent * kMs, 1, {End::kFull, 0, 0});
+  CHECK(sent == 8);
+  CHECK((step.what == What::kRefuse && step.come_back > 0 && step.come_back <= 1000 * kMs));
+  CHECK(facade.report(kStart + 50 * kMs, 1, {End::kFull, 0, 0}).what == What::kWait);  // it is over
+}
+
+TEST_CASE("Nothing is sent where no cache of the centre is ready, and nothing after the client left") {
+  Facade facade(settings());
+  CHECK(facade.pick(kStart, ask(0)).what == What::kRefuse);
+  bus::Event e = list();
+  facade.heed(kStart, e);
+  REQUIRE(facade.pick(kStart, ask(0, 2)).what == What::kSend);
+  facade.gone(kStart, 2);
+  CHECK(facade.report(kStart + kMs, 2, {End::kFull, 0, 0}).what == What::kWait);
+  e.kind = bus::Event::Kind::kChanges;
+  e.depots.resize(2);
+  for (bus::Depot& d : e.depots) d.state = bus::State::kDraining;
+  facade.heed(kStart, e);
+  CHECK(facade.pick(kStart, ask(0, 3)).what == What::kRefuse);
+  CHECK(facade.tick(kStart).empty());
+}
+
+TEST_CASE("A purge bounds the age of what will do by its own time") {
+  Facade facade(settings());
+  facade.heed(kStart, list());
+  CHECK(facade.pick(kStart, ask(0, 1)).oldest == 0);
+  bus::Event purge;
+  purge.kind = bus::Event::Kind::kGroupPurge;
+  purge.group = 17;
+  purge.purged_ms = kStart / kMs - 300;
+  facade.heed(kStart, purge);
+  const Time oldest = facade.pick(kStart + 10 * kMs, ask(0, 2)).oldest;
+  CHECK((oldest > 0 && oldest <= 310 * kMs));
+}
