--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -317,4 +317,7 @@
     CHECK_THROWS_AS(config::parse(bad), config::Bad);
   }
   CHECK_THROWS_AS(config::load("/nowhere/config.json"), config::Bad);
+
+  const auto example = config::load(ANISEWICK_EXAMPLE);
+  CHECK((example.classes.size() == 3 && example.known.at(0).depots.size() == 4 && example.bus.port == 7070));
 }
