Reload on SIGHUP: read the file again and join the new event bus from the last number

Cause: main.cpp added SIGTERM, SIGINT and SIGUSR1 to its signal set and left SIGHUP to its default, which ends the process.

Now the configuration is read again; events in its `known` beyond the last number are heeded, the event bus is joined at its new address from there, the limits of the front follow. A file that cannot be used leaves everything as it was, with one line on standard error. What the decisions rest on stays from the start. In the bus client only a whole frame counts as a sign of life, so that one broken off is found out too.

Checked: the new test fails without the change (the process ends); all tests pass under ASan and UBSan.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -4,6 +4,7 @@
 #include <cstdlib>
 #include <iostream>
 #include <string>
+#include <utility>
 
 #include "config/config.hpp"
 #include "facade/facade.hpp"
@@ -31,8 +32,9 @@
 
 class Program {
  public:
-  explicit Program(const config::Config& c)
-      : facade_(c.settings),
+  Program(std::string path, const config::Config& c)
+      : path_(std::move(path)),
+        facade_(c.settings),
         depots_(io_, counters_,
                 {std::chrono::nanoseconds(c.connect_timeout), std::chrono::nanoseconds(c.connection_idle),
                  c.streams, 4}),
@@ -42,6 +44,7 @@
              [this](const bus::Event& event) { doorman_.heed(event); }),
         signals_(io_, SIGTERM, SIGINT, SIGUSR1),
         end_(io_) {
+    signals_.add(SIGHUP);
     doorman_.answers_by([this](net::Ticket ticket, const net::Answer& a) { front_.answer(ticket, a); });
     // Before the first request: a purge or a drain known now must not be found out later.
     for (const bus::Event& event : c.known) doorman_.heed(event);
@@ -65,7 +68,7 @@
  private:
   static net::Front::Limits front_limits(const config::Config& c) {
     net::Front::Limits limits;
-    // Half of the descriptors; clients are promised to hold at most a third.
+    // Clients that behave hold at most a third of the descriptors; more would starve the depots' connections.
     limits.connections = std::max<std::uint64_t>(8, c.sockets / 2);
     limits.held_bytes = c.memory_mb * (std::uint64_t{1} << 20) / 4;
     return limits;
@@ -76,6 +79,8 @@
       if (error) return;
       if (signal == SIGUSR1) {
         print_counters();
+      } else if (signal == SIGHUP) {
+        reload();
       } else if (!ending_) {
         ending_ = true;
         end_.expires_after(kServeOn);
@@ -84,6 +89,18 @@
       wait_for_signal();
     });
   }
+  // The event bus may have moved, the limits may have changed. What the decisions rest on stays as it was at
+  // the start: they know what is open and what was learned. A bad file leaves all of it in force.
+  void reload() {
+    try {
+      const config::Config c = config::load(path_);
+      front_.limit(front_limits(c));
+      bus_.move(net::endpoint_of(c.bus.address, c.bus.port), c.known);
+      ++counters_.reloads;
+    } catch (const std::exception& e) {
+      std::cerr << "anisewick: the old configuration stays in force: " << e.what() << std::endl;
+    }
+  }
   void end_when_done() {
     front_.stop_accepting();
     if (front_.idle()) {
@@ -98,6 +115,7 @@
   }
   void print_counters() const { std::cerr << "anisewick: " << counters_ << std::endl; }
 
+  const std::string path_;
   asio::io_context io_{1};
   net::Counters counters_;
   Facade facade_;
@@ -115,7 +133,7 @@
   if (path.empty()) throw config::Bad("RELAY_CONFIG is not set");
   const config::Config c = config::load(path);
   const std::string listen = environment("RELAY_LISTEN");
-  Program program(c);
+  Program program(path, c);
   return program.run(listen.empty() ? c.listen : config::endpoint_from(listen));
 }
 
--- a/src/net/bus_client.cpp
+++ b/src/net/bus_client.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <utility>
-#include <vector>
 
 namespace anisewick::net {
 namespace {
@@ -46,19 +45,30 @@
     if (error) return again();
     std::vector<bus::Event> events;
     const bool fine = reader_.feed({in_.data(), n}, events);
-    for (const bus::Event& event : events) {
-      // An empty frame tells nothing new; and what was told before the connection was lost is not heeded
-      // twice.
-      if (event.kind == bus::Event::Kind::kNothing || event.number <= last_) continue;
-      last_ = event.number;
-      heed_(event);
-    }
+    heed(events);
     if (!fine) return again();
-    watch(kSilence);
+    // Only a whole frame is a sign of life: one that broke off and is never ended must be noticed too.
+    if (!events.empty()) watch(kSilence);
     read();
   });
 }
 
+void BusClient::heed(const std::vector<bus::Event>& events) {
+  for (const bus::Event& event : events) {
+    // An empty frame tells nothing new; and what was told before the connection was lost is not heeded twice.
+    if (event.kind == bus::Event::Kind::kNothing || event.number <= last_) continue;
+    last_ = event.number;
+    heed_(event);
+  }
+}
+
+void BusClient::move(const Tcp::endpoint& at, const std::vector<bus::Event>& known) {
+  if (closed_) return;
+  heed(known);
+  at_ = at;
+  connect();
+}
+
 void BusClient::watch(milliseconds limit) {
   timer_.expires_after(limit);
   timer_.async_wait([this, turn = turn_](Error error) {
--- a/src/net/bus_client.hpp
+++ b/src/net/bus_client.hpp
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <functional>
+#include <vector>
 
 #include "bus/bus.hpp"
 #include "net/asio.hpp"
@@ -16,9 +17,12 @@
   using Heed = std::function<void(const bus::Event&)>;
   BusClient(asio::io_context& io, Counters& counters, const Tcp::endpoint& at, std::uint64_t last, Heed heed);
   void start() { connect(); }
+  // Asks at the new address from here on, for what follows the last event that was heeded.
+  void move(const Tcp::endpoint& at, const std::vector<bus::Event>& known);
   void close();
 
  private:
+  void heed(const std::vector<bus::Event>& events);
   void connect();
   void read();
   void watch(std::chrono::milliseconds limit);
--- a/src/net/counters.hpp
+++ b/src/net/counters.hpp
@@ -15,8 +15,8 @@
   // To depots, and how it ended.
   std::uint64_t sent = 0, done = 0, kept = 0, lacks = 0, full = 0, broke = 0, over = 0, late = 0,
                 unreached = 0, reset = 0, late_answers = 0, links = 0;
-  // From the event bus.
-  std::uint64_t lists = 0, purges = 0, bus_lost = 0;
+  // From the event bus, and new configurations.
+  std::uint64_t lists = 0, purges = 0, bus_lost = 0, reloads = 0;
 };
 
 inline std::ostream& operator<<(std::ostream& out, const Counters& c) {
@@ -28,7 +28,7 @@
              << " broke=" << c.broke << " over=" << c.over << " late=" << c.late
              << " unreached=" << c.unreached << " reset=" << c.reset << " late_answers=" << c.late_answers
              << " links=" << c.links << "; bus: lists=" << c.lists << " purges=" << c.purges
-             << " lost=" << c.bus_lost;
+             << " lost=" << c.bus_lost << " reloads=" << c.reloads;
 }
 
 }  // namespace anisewick::net
--- a/src/net/front.hpp
+++ b/src/net/front.hpp
@@ -26,6 +26,7 @@
 
   void listen(const Tcp::endpoint& at, Error& error);
   Tcp::endpoint at() const;
+  void limit(const Limits& limits) { limits_ = limits; }
   void stop_accepting();
   bool idle() const;  // nothing is open and every answer is written
   void answer(Ticket ticket, const Answer& answer);
--- a/tests/doorman_test.cpp
+++ b/tests/doorman_test.cpp
@@ -156,6 +156,11 @@
     if (!path_.empty()) ::unlink(path_.c_str());
   }
 
+  // Another text in the configuration, from the start or the next SIGHUP on.
+  void change(const std::string& from, const std::string& to) {
+    config_.replace(config_.find(from), from.size(), to);
+    if (!path_.empty()) std::ofstream(path_) << config_;
+  }
   void start() {
     char path[] = "/tmp/anisewick-test-XXXXXX";
     const Fd file(::mkstemp(path));
@@ -182,10 +187,12 @@
     while (program->counters().find(counter) == std::string::npos) {
     }
   }
-  void reconnected() {
-    bus = bus_.accept();
+  void reconnected() { reconnected(bus_); }
+  void reconnected(Listener& at) {
+    bus = at.accept();
     hello = bus.take(8);
   }
+  int bus_port() const { return bus_.port(); }
 
   Caches caches;
   std::vector<Depot> depots;
@@ -548,6 +555,34 @@
   CHECK(site.hello == big_endian(2, 8));
 }
 
+TEST_CASE("SIGHUP moves to the new event bus from the last number, and a bad file changes nothing") {
+  Site site;
+  site.start();
+  Stream client = site.client();
+  client.write(request(1));
+  const Heard h = site.caches.next();
+  site.tell(2, site.depots[0].record(), "lists=2 ");
+  site.change("\"name\":", "\"name\"");
+  site.program->signal(SIGHUP);
+  CHECK(site.program->line().find("stays in force: not JSON") != std::string::npos);
+  Listener moved;
+  site.change("\"name\"", "\"name\":");
+  site.change("127.0.0.1:" + std::to_string(site.bus_port()), "127.0.0.1:" + std::to_string(moved.port()));
+  site.change("\"batch\":[", R"("batch":[{"offset":3,"ban":{"tag":5,"ts":1}},)");
+  site.program->signal(SIGHUP);
+  CHECK(site.bus.ends());
+  site.reconnected(moved);
+  CHECK(site.hello == big_endian(3, 8));  // with what the new file knows
+  h.say("DONE", "remark=hit", "whole");
+  CHECK(answer(client).body == "whole");
+  Depot drained = site.depots[h.depot];
+  drained.state = 1;
+  site.tell(2, "", "lists=2 ");  // number 3 again changes nothing
+  site.tell(2, drained.record(), "lists=3 ");
+  client.write(request(1));
+  CHECK(site.caches.next().depot != h.depot);
+}
+
 TEST_CASE("A depot that restarts, or a new one at its address, gets new connections") {
   const bool restarts = GENERATE(true, false);
   Site site;
--- a/tests/peers.hpp
+++ b/tests/peers.hpp
@@ -180,10 +180,13 @@
   // Asks for the counters and gives the line that it prints.
   std::string counters() {
     signal(SIGUSR1);
+    return line();
+  }
+  std::string line() {  // the next one on standard error
     std::string text;
     char c = 0;
     while (readable(err_.get(), kLimitMs) && ::read(err_.get(), &c, 1) == 1 && c != '\n') text.push_back(c);
-    if (c != '\n') throw std::runtime_error("no counters: " + text);
+    if (c != '\n') throw std::runtime_error("no line: " + text);
     return text;
   }
   bool running() { return ::waitpid(pid_, nullptr, WNOHANG) == 0; }
