Leave clients that say too little or too much after 2 s, and make room when full

Cause: front.cpp kept an idle connection for 30 s (kIdle) and stopped accepting at half of the descriptors, so usual clients waited behind those that stay. One that never sent a whole request was held just as long. A request over the limits was answered only at its end, which may never come (Session::append, record). Ruled out: memory (6 of 32 MB), CPU (0.03 of a core), depots (full and reset near 0 while requests ran out of time).

Now: 6 s of idleness; 2 s for what has begun, or never began; when full, the one that is missed least goes; what is too large is told at once and the rest passed over; those who do not take what they are sent go first when memory runs short; the id of an open request with another object gets 409 and is not passed on.

Checked: both new tests fail on the program before ("no depot heard anything"; no 409, the first asker lost its answer), all pass under ASan and UBSan.

--- a/src/fastcgi/fastcgi.cpp
+++ b/src/fastcgi/fastcgi.cpp
@@ -1,6 +1,7 @@
 #include "fastcgi/fastcgi.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace anisewick::fastcgi {
 namespace {
@@ -121,28 +122,47 @@
       events.back().request.id = id;
       events.back().request.keep_connection = a.request.keep_connection;
     }
-    append_end(replies, id, EndStatus::kComplete);  // no answer is owed, but the id comes free
-    release(a);
-    open_.erase(it);
+    if (!a.answered) append_end(replies, id, EndStatus::kComplete);  // none is owed, but the id comes free
+    erase(it);
     return true;
   }
-  if (a.delivered || (type != Type::kParams && type != Type::kStdin)) return true;
-  if (type == Type::kParams) {
-    if (a.params_done) return true;
-    if (content.empty()) {
-      a.params_done = true;
-      if (!a.request.too_large && !decode_params(a.params, a.request.params)) return false;
-    } else {
-      append(a, a.params, limits_.params, content);
+  if (a.ended || (type != Type::kParams && type != Type::kStdin)) return true;
+  if (content.empty()) {
+    if (type == Type::kParams) {
+      if (std::exchange(a.params_done, true) || a.delivered) return true;
+      return decode_params(a.params, a.request.params);
+    }
+    if (!a.params_done) return false;  // the body may come between the parameters, but not end before them
+    a.ended = true;
+    --incomplete_;
+    if (a.answered) {
+      open_.erase(it);
+    } else if (!a.delivered) {
+      deliver(a, id, events);
     }
     return true;
   }
-  if (!content.empty()) {
-    append(a, a.request.body, limits_.body, content);
+  if (a.delivered || (type == Type::kParams && a.params_done)) return true;
+  const bool params = type == Type::kParams;
+  if (append(params ? a.params : a.request.body, params ? limits_.params : limits_.body, content)) {
     return true;
   }
-  if (!a.params_done) return false;  // the body may come between the parameters, but not end before them
-  release(a);
+  // Too much, and it may go on for ever: told now, and what is left of it is read and dropped.
+  a.request.too_large = true;
+  a.request.params.clear();
+  deliver(a, id, events);
+  return true;
+}
+
+bool Session::append(std::string& to, std::size_t limit, std::string_view content) {
+  if (to.size() + content.size() > limit) return false;
+  to.append(content);
+  held_ += content.size();
+  return true;
+}
+
+void Session::deliver(Assembly& a, std::uint16_t id, std::vector<Event>& events) {
+  held_ -= a.params.size() + a.request.body.size();
   a.delivered = true;
   std::string().swap(a.params);
   Event event{Event::Kind::kRequest, {}};
@@ -151,21 +171,25 @@
   event.request.too_large = a.request.too_large;
   event.request.params = std::move(a.request.params);
   event.request.body = std::move(a.request.body);
+  if (event.request.too_large) event.request.body.clear();
   events.push_back(std::move(event));
-  return true;
 }
 
-void Session::append(Assembly& a, std::string& to, std::size_t limit, std::string_view content) {
-  if (to.size() + content.size() > limit) {
-    a.request.too_large = true;  // bounded: what is too much is read and dropped
-    return;
-  }
-  to.append(content);
-  held_ += content.size();
+void Session::erase(std::map<std::uint16_t, Assembly>::iterator it) {
+  const Assembly& a = it->second;
+  if (!a.delivered) held_ -= a.params.size() + a.request.body.size();
+  if (!a.ended) --incomplete_;
+  open_.erase(it);
 }
 
-void Session::release(const Assembly& a) {
-  if (!a.delivered) held_ -= a.params.size() + a.request.body.size();
+void Session::finished(std::uint16_t id) {
+  const auto it = open_.find(id);
+  if (it == open_.end()) return;
+  if (it->second.ended) {
+    open_.erase(it);
+  } else {
+    it->second.answered = true;
+  }
 }
 
 bool Session::begin(std::uint16_t id, std::string_view content, std::string& replies) {
@@ -177,6 +201,7 @@
     append_end(replies, id, EndStatus::kOverloaded);
   } else {
     Assembly& a = open_[id];
+    ++incomplete_;
     a.request.keep_connection = (byte_at(content, 2) & kKeepConnection) != 0;
   }
   return true;
--- a/src/fastcgi/fastcgi.hpp
+++ b/src/fastcgi/fastcgi.hpp
@@ -30,7 +30,7 @@
 struct Request {
   std::uint16_t id = 0;
   bool keep_connection = false;
-  bool too_large = false;  // parameters or body passed the limits and are not all here
+  bool too_large = false;  // parameters or body passed the limits: told at once, and not all here
   Params params;
   std::string body;
 };
@@ -55,10 +55,12 @@
   // Takes what came. Appends what is complete to `events` and what must be said at once to `replies`.
   // False: the peer does not speak FastCGI, and nothing more can be understood of this connection.
   bool feed(std::string_view bytes, std::vector<Event>& events, std::string& replies);
-  // The request was answered: its id may be used again.
-  void finished(std::uint16_t id) { open_.erase(id); }
+  // The request was answered: its id may be used again, once its last byte has come.
+  void finished(std::uint16_t id);
   // Bytes kept of what has not come whole yet.
   std::size_t held() const { return pending_.size() + held_; }
+  // A record or a request has begun and its end has not come.
+  bool unfinished() const { return !pending_.empty() || incomplete_ > 0; }
 
  private:
   struct Assembly {
@@ -66,17 +68,21 @@
     std::string params;
     bool params_done = false;
     bool delivered = false;
+    bool ended = false;     // its last byte has come
+    bool answered = false;  // before that: the rest is passed over
   };
   bool record(Type type, std::uint16_t id, std::string_view content, std::vector<Event>& events,
               std::string& replies);
-  void append(Assembly& a, std::string& to, std::size_t limit, std::string_view content);
-  void release(const Assembly& a);
+  bool append(std::string& to, std::size_t limit, std::string_view content);
+  void deliver(Assembly& a, std::uint16_t id, std::vector<Event>& events);
+  void erase(std::map<std::uint16_t, Assembly>::iterator it);
   bool begin(std::uint16_t id, std::string_view content, std::string& replies);
 
   Limits limits_;
   std::string pending_;  // at most one record that has not come whole
   std::map<std::uint16_t, Assembly> open_;
-  std::size_t held_ = 0;  // in the assemblies
+  std::size_t held_ = 0;        // in the assemblies
+  std::size_t incomplete_ = 0;  // of them, those whose last byte has not come
 };
 
 // False: a length runs past the end.
--- a/src/net/doorman.cpp
+++ b/src/net/doorman.cpp
@@ -32,12 +32,9 @@
 
 void Doorman::taken(Ticket ticket, Call&& call) {
   const auto cls = std::find(classes_.begin(), classes_.end(), call.profile);
-  if (cls == classes_.end()) {
-    ++counters_.invalid;
-    Answer answer;
-    answer.status = 404;
-    return reply_(ticket, answer);
-  }
+  if (cls == classes_.end()) return turn_away(ticket, 404);
+  // By its id a depot tells a request from another: two at once would get each other's answers.
+  if (!ids_.insert(call.id).second) return turn_away(ticket, 409);
   Ask ask;
   ask.id = ticket;
   ask.object = call.object;
@@ -55,6 +52,7 @@
   if (it == open_.end()) return;
   const auto open = std::move(it->second);
   open_.erase(it);
+  ids_.erase(open->call.id);
   if (open->sent != 0) depots_.give_up(open->sent);
   facade_.gone(unix_now(), ticket);
 }
@@ -148,8 +146,17 @@
   ended(ticket, std::move(reply));
 }
 
+void Doorman::turn_away(Ticket ticket, int status) {
+  ++counters_.invalid;
+  Answer answer;
+  answer.status = status;
+  reply_(ticket, answer);
+}
+
 void Doorman::finish(Ticket ticket, const Answer& answer) {
-  open_.erase(ticket);
+  const auto it = open_.find(ticket);
+  ids_.erase(it->second->call.id);
+  open_.erase(it);
   reply_(ticket, answer);
 }
 
--- a/src/net/doorman.hpp
+++ b/src/net/doorman.hpp
@@ -6,6 +6,7 @@
 #include <memory>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "bus/bus.hpp"
@@ -43,6 +44,7 @@
   void send(Ticket ticket, Open& open, const Step& step);
   void ended(Ticket ticket, DepotPool::Reply&& reply);
   void too_late(Ticket ticket);
+  void turn_away(Ticket ticket, int status);
   void finish(Ticket ticket, const Answer& answer);
   void tick();
 
@@ -55,6 +57,7 @@
   bool listed_ = false;
   asio::steady_timer ticking_;
   std::unordered_map<Ticket, std::unique_ptr<Open>> open_;
+  std::unordered_set<std::string> ids_;  // of the open calls
 };
 
 }  // namespace anisewick::net
--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -12,6 +12,7 @@
 namespace anisewick::net {
 namespace {
 
+using Clock = std::chrono::steady_clock;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
@@ -19,7 +20,12 @@
 constexpr std::string_view kHealthPath = "/_health";
 constexpr std::size_t kMostUnwritten = 4u << 20;  // of one connection, before it is read no further
 constexpr auto kStall = seconds(10);  // a client that takes nothing for so long is gone or harmful
-constexpr auto kIdle = seconds(30);   // longer than the clients' own 4 s, so that they close first
+constexpr auto kIdle = seconds(6);  // longer than the clients' own 4 s, so that those who behave close first
+// Clients send what they have at once. One that says nothing, or does not end what it began, has no more
+// time.
+constexpr auto kUnfinished = seconds(2);
+constexpr auto kSilent = milliseconds(200);  // of a new connection, before it may have to make room
+constexpr auto kWatch = milliseconds(250);
 constexpr auto kAcceptAgain = milliseconds(20);
 constexpr std::int64_t kMs = 1'000'000;
 constexpr double kMostPatience = 3'600'000.0;
@@ -107,6 +113,8 @@
 
   void write(std::string bytes) {
     if (closed_ || bytes.empty()) return;
+    // Memory is bounded: when it runs short, those who do not take what they are sent go first.
+    if (unwritten_ > kMostUnwritten / 16 && front_.held_ > 2 * front_.limits_.held_bytes) return close();
     front_.held_ += bytes.size();
     unwritten_ += bytes.size();
     queue_.append(bytes);
@@ -115,7 +123,7 @@
   void answered(std::uint16_t id, bool keep) {
     session_.finished(id);
     if (!keep) close_after_ = true;
-    if (close_after_ && unwritten_ == 0) close();
+    close_if_done();
   }
   void close() {
     if (std::exchange(closed_, true)) return;
@@ -132,18 +140,27 @@
     front_.connections_.erase(shared_from_this());
   }
   bool written() const { return unwritten_ == 0; }
+  // Nothing is open and nothing has come: it may be closed to make room for another. Not a new one, whose
+  // request may be on its way.
+  bool spare(Clock::time_point now) const {
+    Error error;
+    return tickets_.empty() && unwritten_ == 0 &&
+           (asked_ ? !session_.unfinished() : now - active_ > kSilent) && socket_.available(error) == 0;
+  }
+  // Those that never asked for anything go first, then those idle for the longest.
+  std::pair<bool, Clock::time_point> worth() const { return {asked_, active_}; }
   void forget(std::uint16_t id) { tickets_.erase(id); }
 
  private:
   void read() {
     // A client that does not take its answers is asked for no more of them until it does.
-    if (closed_ || reading_ || unwritten_ > kMostUnwritten) return;
+    if (closed_ || reading_ || close_after_ || unwritten_ > kMostUnwritten) return;
     reading_ = true;
     socket_.async_read_some(asio::buffer(in_), [self = shared_from_this()](Error error, std::size_t n) {
       self->reading_ = false;
       if (self->closed_) return;
       if (error) return self->close();
-      self->active_ = std::chrono::steady_clock::now();
+      self->active_ = Clock::now();
       self->came({self->in_.data(), n});
       self->read();
     });
@@ -156,8 +173,12 @@
     front_.held_ += session_.held() - assembling_;  // unsigned, and it may fall: the sum comes out right
     assembling_ = session_.held();
     write(std::move(replies));
+    const bool unfinished = session_.unfinished() || (!asked_ && events.empty());
+    if (unfinished && !unfinished_) since_ = Clock::now();
+    unfinished_ = unfinished;
     for (fastcgi::Event& event : events) {
       if (closed_) return;
+      asked_ = true;
       if (event.kind == fastcgi::Event::Kind::kRequest) {
         request(event.request);
       } else if (const auto it = tickets_.find(event.request.id); it != tickets_.end()) {
@@ -234,7 +255,7 @@
                              [self = shared_from_this(), from](Error error, std::size_t n) {
                                if (self->closed_) return;
                                if (error) return self->close();
-                               self->active_ = std::chrono::steady_clock::now();
+                               self->active_ = Clock::now();
                                self->unwritten_ -= n;
                                self->front_.held_ -= n;
                                if (from + n < self->out_.size()) return self->step(from + n);
@@ -242,27 +263,37 @@
                                if (self->queue_.empty() && self->out_.capacity() > kMostUnwritten / 4)
                                  std::string().swap(self->out_);
                                self->pump();
-                               if (self->close_after_ && self->unwritten_ == 0) return self->close();
+                               self->close_if_done();
                                self->read();
                              });
   }
 
   void watch() {
-    timer_.expires_after(seconds(1));
+    timer_.expires_after(kWatch);
     timer_.async_wait([self = shared_from_this()](Error error) {
       if (error || self->closed_) return;
-      const auto still = std::chrono::steady_clock::now() - self->active_;
+      const auto now = Clock::now();
+      const auto still = now - self->active_;
       const bool stalled = self->unwritten_ > 0 && still > kStall;
       const bool idle = self->unwritten_ == 0 && self->tickets_.empty() && still > kIdle;
       if (stalled || idle) return self->close();
-      self->watch();
+      // What was taken before is still answered, but nothing more is read.
+      if (self->unfinished_ && now - self->since_ > kUnfinished) self->close_after_ = true;
+      self->close_if_done();
+      if (!self->closed_) self->watch();
     });
   }
+  void close_if_done() {
+    if (close_after_ && tickets_.empty() && unwritten_ == 0) close();
+  }
 
   Front& front_;
   Tcp::socket socket_;
   asio::steady_timer timer_;
-  std::chrono::steady_clock::time_point active_ = std::chrono::steady_clock::now();
+  Clock::time_point active_ = Clock::now();
+  Clock::time_point since_ = active_;  // when what is unfinished began
+  bool unfinished_ = true;             // there is no whole request yet, or a later one has come in part
+  bool asked_ = false;                 // there was a whole request
   std::array<char, 16 * 1024> in_;
   std::string queue_, out_;
   std::size_t unwritten_ = 0;   // in both
@@ -294,10 +325,13 @@
 void Front::accept() {
   if (!accepting_) return;
   // As many connections as we want to hold: further ones wait in the kernel's queue until some are free.
-  if (connections_.size() >= limits_.connections) return accept_later();
+  if (connections_.size() >= limits_.connections && !make_room()) return accept_later();
   acceptor_.async_accept([this](Error error, Tcp::socket socket) {
     if (!accepting_) return;
-    if (error) return accept_later();  // out of descriptors, say: not to spin on it
+    if (error) {  // out of descriptors, say: not to spin on it
+      make_room();
+      return accept_later();
+    }
     ++counters_.connections;
     auto connection = std::make_shared<Connection>(*this, std::move(socket));
     connections_.insert(connection);
@@ -306,6 +340,16 @@
   });
 }
 
+bool Front::make_room() {
+  const auto now = Clock::now();
+  std::shared_ptr<Connection> least;
+  for (const auto& c : connections_) {
+    if ((least == nullptr || c->worth() < least->worth()) && c->spare(now)) least = c;
+  }
+  if (least != nullptr) least->close();
+  return least != nullptr;
+}
+
 void Front::accept_later() {
   accept_again_.expires_after(kAcceptAgain);
   accept_again_.async_wait([this](Error error) {
--- a/src/net/front.hpp
+++ b/src/net/front.hpp
@@ -40,6 +40,7 @@
     bool keep = true;
   };
   void accept();
+  bool make_room();  // closes the connection that is missed least, if there is one
   void accept_later();
 
   asio::io_context& io_;
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -94,6 +94,12 @@
       {"parameters too large",
        begin(1) + record(4, 1, std::string(60, 'p')) + record(4, 1, std::string(60, 'p')) + tail,
        "request 1 too-large;"},
+      {"too large and without an end",
+       begin(1) + record(4, 1, std::string(60, 'p')) + record(4, 1, std::string(60, 'p')),
+       "request 1 too-large;"},
+      {"an id again before the end",
+       begin(1) + record(4, 1, std::string(60, 'p')) + record(4, 1, std::string(60, 'p')) + begin(1),
+       "malformed request 1 too-large;"},
       {"body too large", begin(1) + record(4, 1, "") + record(5, 1, std::string(60, 'b')) + record(5, 1, ""),
        "request 1 too-large;"},
       {"one too many", begin(1) + begin(2) + begin(3), "reply 3 to 3:00002000;"},
@@ -109,7 +115,7 @@
   };
   for (const Case& c : cases) {
     fastcgi::Limits limits;
-    if (c.what == "parameters too large") limits.params = 100;
+    if (c.bytes.find("pppp") != std::string::npos) limits.params = 100;
     if (c.what == "body too large") limits.body = 50;
     if (c.what == "one too many") limits.open = 2;
     for (const std::size_t step : {1, 3, 7, 8, 100'000}) {
--- a/tests/doorman_test.cpp
+++ b/tests/doorman_test.cpp
@@ -583,6 +583,42 @@
   CHECK(site.caches.next().depot != h.depot);
 }
 
+TEST_CASE("Clients that say nothing, too little or too much are answered or left, and hold no one up") {
+  Site site;
+  site.change("\"sockets\":1024", "\"sockets\":64");
+  site.start();
+  const std::string much(60'000, 'x');
+  const std::vector<std::string> endings{
+      "", "half", begin(1), begin(1) + record(4, 1, much) + record(4, 1, much),
+      begin(1) + record(4, 1, params_of({})) + record(4, 1, "") + record(5, 1, much) + record(5, 1, much)};
+  std::vector<Stream> bad, stay;
+  for (int n = 0; n < 60; ++n) {  // more than are accepted, and some that ask once and stay
+    (n % 2 ? bad : stay).push_back(site.client());
+    if (n % 2) bad.back().write(endings[static_cast<std::size_t>(n) / 2 % endings.size()]);
+    if (n % 2 == 0) stay.back().write(request(1, numbered(n)));
+    if (n % 2 == 0) site.caches.next().say("DONE", "remark=hit", "x");
+    if (n % 2 == 0) CHECK(answer(stay.back()).body == "x");
+  }
+  for (Stream& s : bad) CHECK((s.more() || s.ends()));
+}
+
+TEST_CASE("The id of an open request is not passed on again") {
+  Site site;
+  site.start();
+  Stream one = site.client(), two = site.client();
+  one.write(request(1));
+  const Heard h = site.caches.next();
+  Ask same;
+  same.object = "00000000000000aa";
+  two.write(request(1, same));
+  CHECK(answer(two).has("Status: 409"));
+  h.say("DONE", "remark=hit", "x");
+  CHECK(answer(one).body == "x");
+  two.write(request(1, same));  // it is over, and the id means nothing any more
+  site.caches.next().say("DONE", "remark=hit", "y");
+  CHECK(answer(two).body == "y");
+}
+
 TEST_CASE("A depot that restarts, or a new one at its address, gets new connections") {
   const bool restarts = GENERATE(true, false);
   Site site;
