Learn from errors and time-outs only what they show; refuse figures out of range

Causes: Control::learn took every error as the cache's fault and every time-out as a sign; limit_fills likewise; call_from let absent and absurd figures pass, and sent "0" for an absent part. Ruled out: the origin (share 1.00 throughout), the parents' time to first byte (20 to 45 ms), cold budgets (all shares 1.00).

Now an error without a note counts against a cache only when another attempt of the request is served, which also gives back the further attempt; after three the request ends. A time-out of an attempt that had less than half of the aim says nothing. A connection's end costs no further attempt in hand.

Checked: three new module tests and the table of wrong requests fail without the change.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -33,6 +33,8 @@
 constexpr double kSlow = 2.5;              // this many times the others' slowness ejects
 constexpr double kHandling = 0.05;         // seconds that an answer takes beyond its sending time
 constexpr double kUnclear = 0.5;           // weight of a failure that may be the cache's or the source's
+constexpr double kFairTime = 0.5;  // of the aim; an attempt that had less and timed out says nothing of anyone
+constexpr int kMostErrors = 3;     // of one request, after which it is the request that cannot be served
 constexpr std::size_t kMaxServers = 4096;  // known ones, before the gone are forgotten
 constexpr Time kTrial = 500 * kMs;    // one attempt in this time finds out whether an ejected one recovered
 constexpr double kColdMargin = 0.7;   // share of a cold budget that is used
@@ -276,6 +278,8 @@
   bool overdue = false;  // already counted as late
   bool open = true;
   bool may_have_run = true;
+  bool unexplained = false;     // an error that may be the request's own fault
+  Status status = Status::kOk;  // how it ended
 };
 
 struct Held {
@@ -332,9 +336,12 @@
     }
     return n > 0.0 ? sum / n : 0.0;
   }
+  double aim_of(const Request& r) const {  // how long an answer may take for the full worth
+    const ClassSettings& c = cls(r);
+    return static_cast<double>(c.aim) + c.aim_stretch * work_of(r) * kSecond;
+  }
   Time wanted_by(const Held& h) const {
-    const ClassSettings& c = cls(h.r);
-    const double aim = static_cast<double>(c.aim) + c.aim_stretch * work_of(h.r) * kSecond;
+    const double aim = aim_of(h.r);
     const Time left = std::max<Time>(0, h.r.give_up_at - h.arrived);
     return h.arrived + (aim < static_cast<double>(left) ? static_cast<Time>(aim) : left);
   }
@@ -612,7 +619,9 @@
     const bool kept = !c.never_kept && !h.r.write;
     const Time last = h.r.give_up_at - 2 * s.tick - kMs;  // an outcome by then can still be answered in time
     if (now >= last || static_cast<int>(h.tries.size()) >= s.max_attempts) return finish(h, out);
-    if (!h.tries.empty() && retries < 1.0) return finish(h, out);
+    // A connection's end is no sign of a crowd: what follows it is not held back.
+    const bool free = h.tries.empty() || h.tries.back().status == Status::kReset;
+    if (!free && retries < 1.0) return finish(h, out);
     Server* server = pick_cache(now, h);
     Server* source = nullptr;
     if (kept) source = pick_parent(now, h);
@@ -662,7 +671,7 @@
       t.charged_source = std::max(work_of(h.r), mean);
       source->charge(now, s.fall_window, t.charged_source);
     }
-    if (!h.tries.empty()) retries -= 1.0;
+    if (!free) retries -= 1.0;
     server->open += t.work;
     if (t.fill) {
       crowd.filling += t.work;
@@ -682,6 +691,7 @@
     Try& t = h.tries[static_cast<std::size_t>(o.attempt)];
     limit_fills(now, h, t, o);
     close(t);
+    t.status = o.status;
     t.may_have_run = o.status != Status::kFull && o.status != Status::kConnectFailed &&
                      o.status != Status::kMoot && o.status != Status::kMiss;
     const bool answer = o.status != Status::kTimeout && o.status != Status::kCancelled &&
@@ -691,6 +701,9 @@
     if (o.closed) return drop(o.id);
     if (o.status == Status::kMiss && (!t.fill || t.held_only)) return finish(h, out);
     if (std::any_of(h.tries.begin(), h.tries.end(), [](const Try& x) { return x.open; })) return;
+    const auto errors =
+        std::count_if(h.tries.begin(), h.tries.end(), [](const Try& x) { return x.unexplained; });
+    if (errors >= kMostErrors) return finish(h, out);
     attempt(now, h, out);
   }
 
@@ -704,7 +717,7 @@
       from_origin.add(now, ok && now <= wanted_by(h));
       if (failed) return;  // says nothing of the links
     }
-    if (!t.fill || t.overdue || (ok && (o.note == Note::kHit || o.note == Note::kStale))) return;
+    if (!t.fill || t.overdue || (o.status == Status::kTimeout && !fair(h, o)) || (ok && (o.note == Note::kHit || o.note == Note::kStale))) return;
     if (o.status == Status::kTimeout && (t.server->answered < t.at || t.server->asked.out))
       return;  // one hangs
     if (ok && now <= wanted_by(h)) {
@@ -715,6 +728,10 @@
       fill_late(now, t);
     }
   }
+  // Some clients wait for less than any cache needs; only an attempt that had its time shows a slow one.
+  bool fair(const Held& h, const Outcome& o) const {
+    return static_cast<double>(o.elapsed) >= kFairTime * aim_of(h.r);
+  }
   void fill_late(Time now, const Try& t) {
     Crowd& crowd = t.server->crowd;
     crowd.late_share += kFailSmooth * (1.0 - crowd.late_share);
@@ -745,9 +762,15 @@
       t.charged_source = 0.0;
     }
     if (o.status == Status::kCancelled || o.status == Status::kMoot || o.status == Status::kMiss) return;
+    if (o.status == Status::kTimeout && !fair(h, o)) return;
     const double elapsed = static_cast<double>(o.elapsed) / kSecond;
     const double work = work_of(h.r);
     if (ok) {
+      for (const Try& x : h.tries) {  // what one could serve, the other should have; so it was worth to ask on
+        if (!x.unexplained) continue;
+        retries = std::min(kRetryStore, retries + 1.0);
+        if (x.server != t.server) blame(x, s.notes != Notes::kAll, false);
+      }
       t.server->asked.add(false);
       t.server->served(now, work);
       if (!no_fill && o.note != Note::kJoined && t.source != t.server) t.source->served(now, work);
@@ -762,6 +785,9 @@
     if (o.note == Note::kNoFillPlace) return;
     if (o.note == Note::kOriginFailed) return;
     const bool source_fault = o.note == Note::kSourceRefused || o.note == Note::kSourceFailed;
+    // It may be the request that can't be served by anyone. Another attempt will tell.
+    t.unexplained = o.status == Status::kError && !source_fault;
+    if (t.unexplained) return;
     const bool unclear =
         o.status == Status::kTimeout ||
         (s.notes != Notes::kAll && o.status != Status::kConnectFailed && o.status != Status::kReset);
@@ -770,6 +796,9 @@
       t.server->asked.slowness.add(elapsed / (work + kHandling));
       return;
     }
+    blame(t, unclear, source_fault);
+  }
+  static void blame(const Try& t, bool unclear, bool source_fault) {
     if (source_fault || unclear) t.source->sourced.add(true, source_fault ? 1.0 : kUnclear);
     if (!source_fault) t.server->asked.add(true, unclear ? kUnclear : 1.0);
   }
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -5,6 +5,7 @@
 #include <iostream>
 #include <string>
 #include <utility>
+#include <vector>
 
 #include "config/config.hpp"
 #include "facade/facade.hpp"
@@ -38,7 +39,7 @@
         depots_(io_, counters_,
                 {std::chrono::nanoseconds(c.connect_timeout), std::chrono::nanoseconds(c.connection_idle),
                  c.streams, 4}),
-        doorman_(io_, facade_, depots_, counters_, c.classes),
+        doorman_(io_, facade_, depots_, counters_, classes_of(c)),
         front_(io_, doorman_, counters_, front_limits(c)),
         bus_(io_, counters_, net::endpoint_of(c.bus.address, c.bus.port), c.known_number,
              [this](const bus::Event& event) { doorman_.heed(event); }),
@@ -66,6 +67,13 @@
   }
 
  private:
+  static std::vector<net::Doorman::Class> classes_of(const config::Config& c) {
+    std::vector<net::Doorman::Class> classes;
+    for (std::size_t i = 0; i < c.classes.size(); ++i) {
+      classes.push_back({c.classes[i], c.settings.classes[i].deadline});
+    }
+    return classes;
+  }
   static net::Front::Limits front_limits(const config::Config& c) {
     net::Front::Limits limits;
     // Clients that behave hold at most a third of the descriptors; more would starve the depots' connections.
--- a/src/net/doorman.cpp
+++ b/src/net/doorman.cpp
@@ -12,7 +12,7 @@
 }  // namespace
 
 Doorman::Doorman(asio::io_context& io, Facade& facade, DepotPool& depots, Counters& counters,
-                 std::vector<std::string> classes)
+                 std::vector<Class> classes)
     : io_(io),
       facade_(facade),
       depots_(depots),
@@ -31,8 +31,11 @@
 }
 
 void Doorman::taken(Ticket ticket, Call&& call) {
-  const auto cls = std::find(classes_.begin(), classes_.end(), call.profile);
+  const auto cls =
+      std::find_if(classes_.begin(), classes_.end(), [&](const Class& c) { return c.name == call.profile; });
   if (cls == classes_.end()) return turn_away(ticket, 404);
+  // No client waits for longer than its class allows, give or take: such a figure is made up.
+  if (cls->deadline > 0 && call.patience / 2 > cls->deadline) return turn_away(ticket, 400);
   // By its id a depot tells a request from another: two at once would get each other's answers.
   if (!ids_.insert(call.id).second) return turn_away(ticket, 409);
   Ask ask;
--- a/src/net/doorman.hpp
+++ b/src/net/doorman.hpp
@@ -21,8 +21,12 @@
 class Doorman final : public Calls {
  public:
   using Reply = std::function<void(Ticket, const Answer&)>;
+  struct Class {
+    std::string name;
+    std::int64_t deadline = 0;  // nanoseconds; 0: not told
+  };
   Doorman(asio::io_context& io, Facade& facade, DepotPool& depots, Counters& counters,
-          std::vector<std::string> classes);
+          std::vector<Class> classes);
 
   void answers_by(Reply reply) { reply_ = std::move(reply); }
   void heed(const bus::Event& event);
@@ -52,7 +56,7 @@
   Facade& facade_;
   DepotPool& depots_;
   Counters& counters_;
-  std::vector<std::string> classes_;
+  std::vector<Class> classes_;
   Reply reply_;
   bool listed_ = false;
   asio::steady_timer ticking_;
--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -29,6 +29,8 @@
 constexpr auto kAcceptAgain = milliseconds(20);
 constexpr std::int64_t kMs = 1'000'000;
 constexpr double kMostPatience = 3'600'000.0;
+constexpr double kMostSizeKb = 1'000'000.0;
+constexpr int kMostGroup = 255;
 
 template <typename T>
 bool number(std::string_view text, T& value, int base = 10) {
@@ -74,25 +76,28 @@
 
 bool call_from(fastcgi::Request& request, Call& call) {
   std::map<std::string_view, std::string_view> p;
-  for (const auto& [name, value] : request.params) p[name] = value;
+  for (const auto& [name, value] : request.params) {
+    if (!p.emplace(name, value).second) return false;  // which of the two is meant?
+  }
   const std::string_view path = p["SCRIPT_NAME"];
   if (!path.starts_with(kPath)) return false;
   call.profile = path.substr(kPath.size());
   call.id = p["HTTP_X_CALL_ID"];
   call.thing = p["HTTP_X_ENTITY"];
   call.nth = p["HTTP_X_NTH"];
-  if (call.nth.empty()) call.nth = "0";
   std::uint64_t id = 0;
   if (call.id.size() != 16 || !number(call.id, id, 16)) return false;
   if (call.thing.size() != 16 || !number(call.thing, call.object, 16)) return false;
   if (!word(call.profile) || !number(call.nth, call.part) || call.part < 0) return false;
-  const std::string_view group = p["HTTP_X_BATCH"];
-  if (!group.empty() && !number(group, call.group)) return false;
-  const std::string_view size = p["HTTP_X_HEAP_KB"];
-  if (!size.empty() && !decimal(size, call.size_kb)) return false;
+  if (!number(p["HTTP_X_BATCH"], call.group) || call.group < 0 || call.group > kMostGroup) return false;
+  // One huge size would swamp the mean that budgets and limits are reckoned with.
+  if (!decimal(p["HTTP_X_HEAP_KB"], call.size_kb) || call.size_kb > kMostSizeKb) return false;
   double patience = 0.0;
-  if (!decimal(p["HTTP_X_PATIENCE_MS"], patience)) return false;
-  call.patience = static_cast<std::int64_t>(std::min(patience, kMostPatience) * kMs);
+  if (!decimal(p["HTTP_X_PATIENCE_MS"], patience) || patience > kMostPatience) return false;
+  call.patience = static_cast<std::int64_t>(patience * kMs);
+  const std::string_view length = p["CONTENT_LENGTH"];
+  std::size_t bytes = 0;
+  if (!length.empty() && (!number(length, bytes) || bytes != request.body.size())) return false;
   std::string_view tag = p["HTTP_X_GOT"];
   if (tag.size() >= 2 && tag.front() == '"' && tag.back() == '"') tag = tag.substr(1, tag.size() - 2);
   if (word(tag)) call.tag = tag;
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -398,6 +398,61 @@
   EXPECT_EQ(f.serve(1).server, bad);
 }
 
+TEST(Health, WhatNoCacheCanServeSaysNothingOfThem) {
+  Front f;
+  const std::string home = f.serve(1).server;
+  for (int i = 0; i < 20; ++i) {
+    f.tries = 0;
+    f.ask(1);
+    int attempts = 1;
+    while (f.end(Status::kError), f.attempted()) ++attempts;
+    EXPECT_LE(attempts, 3);
+    f.tries = 0;
+    for (std::uint64_t o = 0; o < 40; ++o) f.serve(100 + o);  // time and further attempts to spare
+    f.now += 600 * kMs;
+    EXPECT_EQ(f.serve(1).server, home);
+  }
+}
+
+TEST(Health, ErrorsThatAnotherAttemptMendsDoNotUseUpFurtherAttempts) {
+  Front f;
+  int refused = 0;
+  for (std::uint64_t o = 0; o < 200; ++o) {
+    f.tries = 0;
+    f.ask(o);
+    if (o % 3 == 0) f.end(Status::kError);
+    refused += f.refused();
+    if (f.attempted()) f.end(Status::kOk, Note::kHit);
+  }
+  EXPECT_EQ(refused, 0);
+}
+
+TEST(Health, ImpatientClientsAndAConnectionsEndSayNothingOfACrowd) {
+  Front f;
+  const std::string home = f.serve(1).server;
+  for (std::uint64_t o = 0; o < 60; ++o) {
+    f.tries = 0;
+    f.ask(1000 + o, 0, 400.0, 100 * kMs);  // a quarter of what the sending alone takes
+    f.now += 95 * kMs;
+    f.end(Status::kTimeout, Note::kNone, 95 * kMs);
+    EXPECT_FALSE(f.attempted());
+  }
+  f.tries = 0;
+  for (std::uint64_t o = 0; o < 60; ++o) {  // each may be sent again at once
+    f.tries = 0;
+    f.ask(2000 + o);
+    f.end(Status::kReset);
+    ASSERT_TRUE(f.attempted()) << o;
+    f.end(Status::kOk, Note::kFilled);
+    for (int i = 0; i < 10; ++i) f.serve(3000 + o);
+  }
+  f.now += 10 * kSec;
+  for (int i = 0; i < 40; ++i) f.serve(1);
+  f.ask(5000, 0, 400.0);
+  EXPECT_NE(f.attempt().source, f.attempt().server);  // a fill is still allowed
+  EXPECT_EQ(f.serve(1).server, home);
+}
+
 TEST(Crowds, FurtherAttemptsAreBounded) {
   Front f;
   int sent = 0;
--- a/tests/doorman_test.cpp
+++ b/tests/doorman_test.cpp
@@ -500,12 +500,25 @@
   CHECK(bad.ends());
   h.say("DONE", "remark=hit", "whole");
   CHECK(answer(good).body == "whole");
-  std::vector<Ask> wrong(5);
+  std::vector<Ask> wrong(18);
   wrong[0].id = "short";
   wrong[1].object = "7f3a9c21e0b4d65z";
   wrong[2].cls = "slot-page x=1";
   wrong[3].cls = "unknown";
   wrong[4].path = "/other/";
+  wrong[5].nth = "";
+  wrong[6].nth = "-1";
+  wrong[7].nth = "1e12";
+  wrong[8].batch = "-1";
+  wrong[9].batch = "256";
+  wrong[10].batch = "nan";
+  wrong[11].size = "1e300";
+  wrong[12].size = "-4";
+  wrong[13].patience = "99999999999999999999999";
+  wrong[14].patience = "60000";
+  wrong[15].patience = "soon";
+  wrong[16].length = "-7";
+  wrong[17].length = "7";
   for (const Ask& ask : wrong) {
     good.write(request(1, ask));
     CHECK(answer(good).has("Status: 4"));
--- a/tests/peers.hpp
+++ b/tests/peers.hpp
@@ -240,12 +240,16 @@
   std::string body = {};
   int group = 17;
   std::string path = "/invoke/";
+  std::string nth = "0", size = "412.5", patience = {}, length = {};
+  std::string batch = {};
 };
 inline std::string params_of(const Ask& a) {
   return param("SCRIPT_NAME", a.path + a.cls) + param("HTTP_X_CALL_ID", a.id) +
-         param("HTTP_X_ENTITY", a.object) + param("HTTP_X_NTH", "0") +
-         param("HTTP_X_BATCH", std::to_string(a.group)) + param("HTTP_X_HEAP_KB", "412.5") +
-         param("HTTP_X_PATIENCE_MS", std::to_string(a.patience_ms)) +
+         param("HTTP_X_ENTITY", a.object) + param("HTTP_X_NTH", a.nth) +
+         param("HTTP_X_BATCH", a.batch.empty() ? std::to_string(a.group) : a.batch) +
+         param("HTTP_X_HEAP_KB", a.size) +
+         param("HTTP_X_PATIENCE_MS", a.patience.empty() ? std::to_string(a.patience_ms) : a.patience) +
+         (a.length.empty() ? "" : param("CONTENT_LENGTH", a.length)) +
          (a.tag.empty() ? "" : param("HTTP_X_GOT", a.tag));
 }
 inline std::string request(int id, const Ask& a = {}) {
