Make no attempt that has less time than the sending takes, and give each its aim

Cause: Control::attempt gave each further attempt half of the time left, whatever the size. Ruled out: tokens (in hand), health (none out), the origin.

Now a request that cannot be sent in the time left is refused at once, and a further attempt may take as long as the first.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -619,7 +619,8 @@
     const ClassSettings& c = cls(h.r);
     const bool kept = !c.never_kept && !h.r.write;
     const Time last = h.r.give_up_at - 2 * s.tick - kMs;  // an outcome by then can still be answered in time
-    if (now >= last || static_cast<int>(h.tries.size()) >= s.max_attempts) return finish(h, out);
+    const Time sending = static_cast<Time>(work_of(h.r) * kSecond);  // nothing is sent to a client faster
+    if (now + sending >= last || static_cast<int>(h.tries.size()) >= s.max_attempts) return finish(h, out);
     // A connection's end is no sign of a crowd: what follows it is not held back.
     const bool free = h.tries.empty() || h.tries.back().status == Status::kReset;
     if (!free && retries < 1.0) return finish(h, out);
@@ -662,7 +663,8 @@
     a.join = s.joins && kept;
     const Time half = now + (last - now) / 2;
     const bool more = static_cast<int>(h.tries.size()) + 1 < s.max_attempts;
-    a.until = more ? std::min(last, std::max(half, wanted_by(h))) : last;
+    const Time fair_end = now + static_cast<Time>(aim_of(h.r));
+    a.until = more ? std::min(last, std::max({half, wanted_by(h), fair_end})) : last;
     t.server = server;
     t.source = source;
     t.at = now;
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -469,6 +469,20 @@
   EXPECT_LE(sent, 200 + 10 + 20);  // one each, the store, and a tenth of the requests
 }
 
+TEST(Crowds, AFurtherAttemptHasTheTimeItNeedsOrIsNotMade) {
+  Front f;
+  f.ask(1, 0, 500.0, 2200 * kMs);  // half a second to send, wanted within 1.4 s
+  EXPECT_EQ(f.attempt().until, f.now + 1400 * kMs);
+  const Time end = f.now + 2200 * kMs;
+  f.now += 1400 * kMs;
+  f.end(Status::kTimeout, Note::kNone, 1400 * kMs);
+  ASSERT_TRUE(f.attempted());
+  EXPECT_GT(f.attempt().until, end - 10 * kMs);  // not half of the rest, which would be too little
+  f.now += 400 * kMs;
+  f.end(Status::kFull, Note::kNone, 400 * kMs);
+  EXPECT_TRUE(f.refused());
+}
+
 TEST(Crowds, AHotPartSpreadsOverTheCaches) {
   Front f;
   std::set<std::string> used;
