--- a/src/control.cpp
+++ b/src/control.cpp
@@ -769,7 +769,8 @@
     const double elapsed = static_cast<double>(o.elapsed) / kSecond;
     const double work = work_of(h.r);
     if (ok) {
-      for (const Try& x : h.tries) {  // what one could serve, the other should have; so it was worth to ask on
+      // What one could serve, the other should have; and it was worth asking on.
+      for (const Try& x : h.tries) {
         if (!x.unexplained) continue;
         retries = std::min(kRetryStore, retries + 1.0);
         if (x.server != t.server) blame(x, s.notes != Notes::kAll, false);
--- a/src/fastcgi/fastcgi.hpp
+++ b/src/fastcgi/fastcgi.hpp
@@ -37,7 +37,7 @@
 
 struct Limits {
   std::size_t connections = 1;  // told to those who ask
-  std::size_t open = 32;  // requests on one connection
+  std::size_t open = 32;        // requests on one connection
   std::size_t params = 16 * 1024;
   std::size_t body = 48'000;  // what a write carries at most
 };
