--- a/src/control.cpp
+++ b/src/control.cpp
@@ -33,7 +33,7 @@
 constexpr double kSlow = 2.5;              // this many times the others' slowness ejects
 constexpr double kHandling = 0.05;         // seconds that an answer takes beyond its sending time
 constexpr double kUnclear = 0.5;           // weight of a failure that may be the cache's or the source's
-constexpr double kFairTime = 0.5;  // of the aim; an attempt that had less and timed out says nothing of anyone
+constexpr double kFairTime = 0.5;  // of the aim; a time-out of an attempt that had less says nothing
 constexpr int kMostErrors = 3;     // of one request, after which it is the request that cannot be served
 constexpr std::size_t kMaxServers = 4096;  // known ones, before the gone are forgotten
 constexpr Time kTrial = 500 * kMs;    // one attempt in this time finds out whether an ejected one recovered
@@ -720,7 +720,8 @@
       from_origin.add(now, ok && now <= wanted_by(h));
       if (failed) return;  // says nothing of the links
     }
-    if (!t.fill || t.overdue || (o.status == Status::kTimeout && !fair(h, o)) || (ok && (o.note == Note::kHit || o.note == Note::kStale))) return;
+    if (!t.fill || t.overdue || (ok && (o.note == Note::kHit || o.note == Note::kStale))) return;
+    if (o.status == Status::kTimeout && !fair(h, o)) return;
     if (o.status == Status::kTimeout && (t.server->answered < t.at || t.server->asked.out))
       return;  // one hangs
     if (ok && now <= wanted_by(h)) {
