--- a/include/anisewick/control.hpp
+++ b/include/anisewick/control.hpp
@@ -143,12 +143,16 @@
   std::uint64_t id = 0;
   int attempt = 0;
 };
+// Why a request is given up: for counters alone.
+enum class Why { kNoTime, kNoRetries, kNoServer, kCrowdedFills, kWeakOrigin, kErrors };
 struct Refuse {
   std::uint64_t id = 0;
   Time hold_off = 0;
+  Why why = Why::kNoTime;
 };
 struct Fail {
   std::uint64_t id = 0;
+  Why why = Why::kNoTime;
 };
 struct Alarm {
   Time in = 0;
--- a/src/control.cpp
+++ b/src/control.cpp
@@ -605,12 +605,12 @@
                         [](const Try& t) { return t.open || t.may_have_run; });
   }
 
-  void finish(Held& h, Actions& out) {
+  void finish(Held& h, Actions& out, Why why) {
     const std::uint64_t id = h.r.id;
     if (may_refuse(h)) {
-      out.push_back(Refuse{id, std::min(kComeBack, s.max_retry_after)});
+      out.push_back(Refuse{id, std::min(kComeBack, s.max_retry_after), why});
     } else {
-      out.push_back(Fail{id});
+      out.push_back(Fail{id, why});
     }
     drop(id);
   }
@@ -620,10 +620,11 @@
     const bool kept = !c.never_kept && !h.r.write;
     const Time last = h.r.give_up_at - 2 * s.tick - kMs;  // an outcome by then can still be answered in time
     const Time sending = static_cast<Time>(work_of(h.r) * kSecond);  // nothing is sent to a client faster
-    if (now + sending >= last || static_cast<int>(h.tries.size()) >= s.max_attempts) return finish(h, out);
+    if (now + sending >= last || static_cast<int>(h.tries.size()) >= s.max_attempts)
+      return finish(h, out, Why::kNoTime);
     // A connection's end is no sign of a crowd: what follows it is not held back.
     const bool free = h.tries.empty() || h.tries.back().status == Status::kReset;
-    if (!free && retries < 1.0) return finish(h, out);
+    if (!free && retries < 1.0) return finish(h, out, Why::kNoRetries);
     Server* server = pick_cache(now, h);
     Server* source = nullptr;
     if (kept) source = pick_parent(now, h);
@@ -632,7 +633,7 @@
       server = source;
       source = origin != nullptr ? origin : source;
     }
-    if (server == nullptr) return finish(h, out);
+    if (server == nullptr) return finish(h, out, Why::kNoServer);
     if (source == nullptr) source = server;
     const bool admitted = kept && hotness.admitted(count_key(h.r));
     Try t;
@@ -641,7 +642,7 @@
     // One fill at an idle cache always passes: a limit below a large part would shut it out and never grow.
     Crowd& crowd = server->crowd;
     t.fill = crowd.limit <= 0.0 || !kept || crowd.filling <= 0.0 || crowd.filling + t.work <= crowd.limit;
-    if (!t.fill && server->role != Role::kCache) return finish(h, out);
+    if (!t.fill && server->role != Role::kCache) return finish(h, out, Why::kCrowdedFills);
     if (!t.fill) {
       source = server;
       h.stale_ok = true;  // an old copy within its grace beats a refusal
@@ -702,11 +703,12 @@
     if (answer) t.server->answered = now;
     learn(now, h, t, o);
     if (o.closed) return drop(o.id);
-    if (o.status == Status::kMiss && (!t.fill || t.held_only)) return finish(h, out);
+    if (o.status == Status::kMiss && (!t.fill || t.held_only))
+      return finish(h, out, t.fill ? Why::kWeakOrigin : Why::kCrowdedFills);
     if (std::any_of(h.tries.begin(), h.tries.end(), [](const Try& x) { return x.open; })) return;
     const auto errors =
         std::count_if(h.tries.begin(), h.tries.end(), [](const Try& x) { return x.unexplained; });
-    if (errors >= kMostErrors) return finish(h, out);
+    if (errors >= kMostErrors) return finish(h, out, Why::kErrors);
     attempt(now, h, out);
   }
 
--- a/src/facade/facade.cpp
+++ b/src/facade/facade.cpp
@@ -35,6 +35,24 @@
   return Status::kError;
 }
 
+const char* word_for(Why why) {
+  switch (why) {
+    case Why::kNoTime:
+      return "no_time";
+    case Why::kNoRetries:
+      return "no_retries";
+    case Why::kNoServer:
+      return "no_depot";
+    case Why::kCrowdedFills:
+      return "crowded_fills";
+    case Why::kWeakOrigin:
+      return "weak_origin";
+    case Why::kErrors:
+      return "errors";
+  }
+  return "";
+}
+
 Member member_from(const bus::Depot& d) {
   Member m;
   m.id = depot::text_of(d.id);
@@ -177,10 +195,12 @@
       Step step;
       step.what = Step::What::kRefuse;
       step.come_back = refuse->hold_off;
+      step.why = word_for(refuse->why);
       settle(refuse->id, step);
     } else if (const auto* fail = std::get_if<Fail>(&action)) {
       Step step;
       step.what = Step::What::kFail;
+      step.why = word_for(fail->why);
       settle(fail->id, step);
     } else if (const auto* alarm = std::get_if<Alarm>(&action)) {
       alarms.emplace(now + alarm->in, alarm->token);
--- a/src/facade/facade.hpp
+++ b/src/facade/facade.hpp
@@ -42,6 +42,7 @@
   bool held_only = false;
   // kRefuse: stay away for so long
   Time come_back = 0;
+  const char* why = "";  // of kRefuse and kFail, in a word
 };
 
 class Facade {
--- a/src/links/depot_pool.cpp
+++ b/src/links/depot_pool.cpp
@@ -55,14 +55,20 @@
 
   void connect() {
     ++pool_.counters_.links;
+    pool_.counters_.tally(depot_, Tally::kOpened);
     // A refused connection and one that doesn't come up in time prove alike that nothing ran.
     timer_.expires_after(pool_.limits_.connect_timeout);
     timer_.async_wait([self = shared_from_this()](Error error) {
-      if (!error && !self->up_) self->fail();
+      if (error || self->up_) return;
+      self->pool_.counters_.tally(self->depot_, Tally::kUnanswered);
+      self->fail();
     });
     socket_.async_connect(to_, [self = shared_from_this()](Error error) {
       if (self->closed_) return;
-      if (error) return self->fail();
+      if (error) {
+        self->pool_.counters_.tally(self->depot_, Tally::kRefused);
+        return self->fail();
+      }
       self->timer_.cancel();
       self->up_ = true;
       self->used_ = Clock::now();
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,8 +1,11 @@
 // The doorman: reads its configuration, wires the parts together, serves until it is told to end.
 #include <algorithm>
+#include <charconv>
+#include <chrono>
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -13,6 +16,7 @@
 #include "net/counters.hpp"
 #include "net/doorman.hpp"
 #include "net/front.hpp"
+#include "net/reports.hpp"
 
 namespace anisewick {
 namespace {
@@ -45,6 +49,7 @@
         end_(io_) {
     signals_.add(SIGHUP);
     doorman_.answers_by([this](net::Ticket ticket, const net::Answer& a) { front_.answer(ticket, a); });
+    if (const auto gap = report_gap(); gap.count() > 0) reports_.emplace(io_, counters_, gap, std::cerr);
     // Before the first request: a purge or a drain known now must not be found out later.
     for (const bus::Event& event : c.known) doorman_.heed(event);
   }
@@ -58,6 +63,7 @@
     }
     bus_.start();
     doorman_.start();
+    if (reports_) reports_->start();
     wait_for_signal();
     io_.run();
     print_counters();
@@ -72,6 +78,13 @@
     }
     return classes;
   }
+  // Off unless asked for: the platform's doorman writes its few plain lines.
+  static std::chrono::milliseconds report_gap() {
+    const std::string text = environment("ANISEWICK_REPORT_MS");
+    long gap = 0;
+    std::from_chars(text.data(), text.data() + text.size(), gap);
+    return std::chrono::milliseconds(std::clamp(gap, 0L, 3'600'000L));
+  }
   // A quarter of the descriptors, and less memory than the requests themselves may take.
   static std::size_t link_limit(const config::Config& c) {
     return static_cast<std::size_t>(std::clamp<std::uint64_t>(c.sockets / 4, 8, 256));
@@ -117,6 +130,7 @@
       bus_.close();
       depots_.close();
       doorman_.close();
+      if (reports_) reports_->close();
       io_.stop();
       return;
     }
@@ -133,6 +147,7 @@
   net::Doorman doorman_;
   net::Front front_;
   net::BusClient bus_;
+  std::optional<net::Reports> reports_;
   asio::signal_set signals_;
   asio::steady_timer end_;
   bool ending_ = false;
--- a/src/net/asio.hpp
+++ b/src/net/asio.hpp
@@ -12,6 +12,8 @@
 using links::DepotPool;
 using links::endpoint_of;
 using links::Error;
+using links::Tallies;
+using links::Tally;
 using links::Tcp;
 using links::unix_now;
 using links::without_delay;
--- a/src/net/counters.hpp
+++ b/src/net/counters.hpp
@@ -3,7 +3,9 @@
 #define ANISEWICK_NET_COUNTERS_HPP_
 
 #include <cstdint>
+#include <map>
 #include <ostream>
+#include <string_view>
 
 #include "links/counters.hpp"
 
@@ -14,6 +16,7 @@
   std::uint64_t connections = 0, taken = 0, malformed = 0, health = 0, invalid = 0, left = 0, turned_away = 0;
   // To clients.
   std::uint64_t served = 0, same = 0, refused = 0, failed = 0;
+  std::map<std::string_view, std::uint64_t> given_up;  // by the decisions, by the word for why
   // To depots, and how it ended.
   std::uint64_t done = 0, kept = 0, lacks = 0, full = 0, broke = 0, over = 0, late = 0, unreached = 0,
                 reset = 0;
@@ -22,7 +25,7 @@
 };
 
 inline std::ostream& operator<<(std::ostream& out, const Counters& c) {
-  return out << "clients: connections=" << c.connections << " taken=" << c.taken << " left=" << c.left
+  out << "clients: connections=" << c.connections << " taken=" << c.taken << " left=" << c.left
              << " malformed=" << c.malformed << " invalid=" << c.invalid << " turned_away=" << c.turned_away
              << " health=" << c.health << "; answered: served=" << c.served << " same=" << c.same
              << " refused=" << c.refused << " failed=" << c.failed << "; depots: sent=" << c.sent
@@ -30,7 +33,9 @@
              << " broke=" << c.broke << " over=" << c.over << " late=" << c.late
              << " unreached=" << c.unreached << " reset=" << c.reset << " late_answers=" << c.late_answers
              << " links=" << c.links << "; bus: lists=" << c.lists << " purges=" << c.purges
-             << " lost=" << c.bus_lost << " reloads=" << c.reloads;
+             << " lost=" << c.bus_lost << " reloads=" << c.reloads << "; given up:";
+  for (const auto& [why, n] : c.given_up) out << ' ' << why << '=' << n;
+  return out;
 }
 
 }  // namespace anisewick::net
--- a/src/net/doorman.cpp
+++ b/src/net/doorman.cpp
@@ -8,6 +8,37 @@
 
 constexpr std::int64_t kMs = 1'000'000;
 constexpr auto kTick = std::chrono::milliseconds(10);
+// The depots' notes on where an answer came from, and why none did.
+constexpr int kRemarkHit = 1, kRemarkViaOrigin = 3, kRemarkJoined = 4, kRemarkStale = 5;
+constexpr int kRemarkOriginFailed = 10;
+
+// The counter of such an end, and what it is in a report.
+std::pair<std::uint64_t Counters::*, Tally::What> counted(const DepotPool::Reply& reply) {
+  const int remark = reply.report.remark;
+  switch (reply.report.end) {
+    case End::kServed:
+      return {reply.same ? &Counters::kept : &Counters::done,
+              remark == kRemarkHit || remark == kRemarkStale ? Tally::kHits
+              : remark == kRemarkViaOrigin                   ? Tally::kViaOrigin
+              : remark == kRemarkJoined                      ? Tally::kJoined
+                                                             : Tally::kFilled};
+    case End::kBroke:
+      return {&Counters::broke, Tally::kBroke};
+    case End::kFull:
+      return {&Counters::full, Tally::kFull};
+    case End::kLate:
+      return {&Counters::late, Tally::kLate};
+    case End::kUnreached:
+      return {&Counters::unreached, Tally::kUnreached};
+    case End::kReset:
+      return {&Counters::reset, Tally::kReset};
+    case End::kOver:
+      return {&Counters::over, Tally::kOver};
+    case End::kLacks:
+      return {&Counters::lacks, Tally::kLacks};
+  }
+  return {&Counters::broke, Tally::kBroke};
+}
 
 }  // namespace
 
@@ -25,6 +56,9 @@
   const bool list = event.kind == Kind::kWholeList || event.kind == Kind::kChanges;
   ++(list ? counters_.lists : counters_.purges);
   if (event.kind == Kind::kWholeList) listed_ = true;
+  if (counters_.tallies != nullptr) {
+    for (const bus::Depot& d : event.depots) counters_.tallies->told(d);
+  }
   // The decisions first: what the pool then calls back is picked again by the new list.
   facade_.heed(unix_now(), event);
   depots_.heed(event);
@@ -70,10 +104,12 @@
     case Step::What::kSend:
       return send(ticket, *it->second, step);
     case Step::What::kRefuse:
+      ++counters_.given_up[step.why];
       answer.kind = Answer::Kind::kRefused;
       answer.come_back = step.come_back;
       return finish(ticket, answer);
     case Step::What::kFail:
+      ++counters_.given_up[step.why];
       return finish(ticket, answer);
   }
 }
@@ -95,6 +131,10 @@
   fetch.max_ms = std::max<std::int64_t>(1, (step.until - now) / kMs);
   fetch.collapse = step.join;
   fetch.only_if_cached = step.held_only;
+  open.depot = step.depot;
+  open.sent_at = now;
+  counters_.tally(step.depot, Tally::kAttempts);
+  if (step.source) counters_.tally(*step.source, Tally::kFills);
   open.sent = depots_.send({step.depot, step.source, call.id, depot::fetch_bytes(fetch), !call.tag.empty()},
                            [this, ticket](DepotPool::Reply&& reply) { ended(ticket, std::move(reply)); });
   open.timer.expires_after(std::chrono::nanoseconds(std::max<std::int64_t>(0, step.until - now)));
@@ -105,33 +145,11 @@
 }
 
 void Doorman::ended(Ticket ticket, DepotPool::Reply&& reply) {
-  switch (reply.report.end) {
-    case End::kServed:
-      ++(reply.same ? counters_.kept : counters_.done);
-      break;
-    case End::kBroke:
-      ++counters_.broke;
-      break;
-    case End::kFull:
-      ++counters_.full;
-      break;
-    case End::kLate:
-      ++counters_.late;
-      break;
-    case End::kUnreached:
-      ++counters_.unreached;
-      break;
-    case End::kReset:
-      ++counters_.reset;
-      break;
-    case End::kOver:
-      ++counters_.over;
-      break;
-    case End::kLacks:
-      ++counters_.lacks;
-  }
+  const auto [count, what] = counted(reply);
+  ++(counters_.*count);
   const auto it = open_.find(ticket);
   if (it == open_.end()) return;
+  if (counters_.tallies != nullptr) tally(*it->second, reply.report, what);
   it->second->sent = 0;
   it->second->timer.cancel();
   const Step step = facade_.report(unix_now(), ticket, reply.report);
@@ -142,6 +160,19 @@
   finish(ticket, answer);
 }
 
+void Doorman::tally(const Open& open, const Report& report, Tally::What what) {
+  const auto add = [&](Tally::What w, std::int64_t n) {
+    counters_.tally(open.depot, w, static_cast<std::uint32_t>(n));
+  };
+  add(what, 1);
+  const std::int64_t ms = (unix_now() - open.sent_at) / kMs;
+  if (what == Tally::kHits) add(Tally::kHitMs, ms);
+  if (what == Tally::kFilled) add(Tally::kFilledMs, ms);
+  if (what == Tally::kViaOrigin) add(Tally::kViaOriginMs, ms);
+  if (what == Tally::kFilled || what == Tally::kViaOrigin) add(Tally::kWaitedMs, report.waited / kMs);
+  if (report.remark > kRemarkStale && report.remark <= kRemarkOriginFailed) add(Tally::kNoFill, 1);
+}
+
 // The attempt's time is over. What had not gone out by then never ran.
 void Doorman::too_late(Ticket ticket) {
   DepotPool::Reply reply;
--- a/src/net/doorman.hpp
+++ b/src/net/doorman.hpp
@@ -41,11 +41,14 @@
     Open(asio::io_context& io, Call&& c) : call(std::move(c)), timer(io) {}
     Call call;
     DepotPool::Handle sent = 0;  // 0: no attempt is out
+    depot::Id depot = 0;         // of the last attempt, and when it was sent
+    std::int64_t sent_at = 0;
     asio::steady_timer timer;    // of the attempt
   };
   void act(Ticket ticket, const Step& step);
   void send(Ticket ticket, Open& open, const Step& step);
   void ended(Ticket ticket, DepotPool::Reply&& reply);
+  void tally(const Open& open, const Report& report, Tally::What what);
   void too_late(Ticket ticket);
   void turn_away(Ticket ticket, int status);
   void finish(Ticket ticket, const Answer& answer);
--- a/tests/doorman_test.cpp
+++ b/tests/doorman_test.cpp
@@ -762,3 +762,26 @@
   }
   ::unlink(path);
 }
+
+TEST_CASE("Reports tell what went to each depot since the last one, and why requests were given up") {
+  ::setenv("ANISEWICK_REPORT_MS", "20", 1);
+  Site site;
+  site.start();
+  ::unsetenv("ANISEWICK_REPORT_MS");
+  Stream client = site.client();
+  client.write(request(1, numbered(1)));
+  site.caches.next().say("DONE", "remark=hit", "x");
+  CHECK(answer(client).body == "x");
+  client.write(request(1, booking(1)));  // less time than it takes: given up unsent
+  CHECK(answer(client).has("Status: "));
+  std::string all;
+  const auto told = [&](const char* what) { return all.find(what) != std::string::npos; };
+  for (int n = 0; n < 500 && !(told("\"attempts\":1") && told("\"hits\":1") && told("\"no_time\":1")); ++n) {
+    const std::string line = site.program->line();
+    CHECK(line.rfind("anisewick: report {\"unix_ms\":", 0) == 0);
+    all += line;
+  }
+  CHECK((told("\"taken\":1") || told("\"taken\":2")));
+  CHECK((told("\"s-00000001\":{\"kind\":0") || told("\"s-00000002\":{\"kind\":0")));
+  CHECK((told("\"opened\":1") && told("\"no_time\":1") && told("\"hits\":1")));
+}
