Count fills that are overdue against the origin at once, and remember it for 1 s

Checked: a front sees about one answer by way of the origin in a second. An attempt that timed out was never counted against the origin (limit_fills passed over it), and the 5 s memory of Throttle (kOriginMemory) let the share recover by a fifth in 5 s. Ruled out: crowded links alone (the caches' hits keep their times of 0.1 s throughout), and refusals by the depots (175 a second at most).

Change: find_overdue counts a fill against the origin when its aim has passed, once; kOriginMemory is 1 s.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -52,7 +52,7 @@
 // The origin is asked for so many times what it gives. More lets it recover sooner, less spares it more:
 // 1.1 to 2.0 moved the grown sites by under 0.02.
 constexpr double kOverask = 1.2;
-constexpr double kOriginMemory = 5.0;    // seconds over which that is remembered
+constexpr double kOriginMemory = 1.0;    // seconds over which that is remembered
 constexpr double kClearly = 2.0;         // this many times the other parent's time to first byte is slower
 // What a refused client is told to stay away, at most. On sockets an overloaded centre kept more the longer
 // it was: 0.83, 0.87, 0.87, 0.88 for 0, 250, 500, 1,000 ms. The simulator's overloaded days lose up to 0.05.
@@ -719,7 +719,7 @@
                         (!ok && t.source->role == Role::kOrigin &&
                          (o.note == Note::kSourceRefused || o.note == Note::kSourceFailed));
     if (failed || o.note == Note::kFilledByOrigin || (t.held_only && o.status == Status::kMiss)) {
-      from_origin.add(now, ok && now <= wanted_by(h));
+      if (!t.overdue || t.held_only) from_origin.add(now, ok && now <= wanted_by(h));
       if (failed) return;  // says nothing of the links
     }
     if (!t.fill || t.overdue || (ok && (o.note == Note::kHit || o.note == Note::kStale))) return;
@@ -756,6 +756,7 @@
       if (t == nullptr || !t->open || !t->fill || t->server->answered < t->at || t->server->asked.out)
         continue;
       t->overdue = true;
+      if (!t->held_only) from_origin.add(now, false);  // its end may be the attempt's, too late to learn from
       fill_late(now, *t);
     }
   }
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -192,6 +192,36 @@
   EXPECT_FALSE(f.attempt().held_only);
 }
 
+TEST(Source, FillsThatStayAwaySpareTheOriginBeforeTheyEndAndNotForLong) {
+  std::vector<Member> list{parent("p"), parent("q"), kOrigin};  // many caches: no limit of one's fills acts
+  for (char c = 'a'; c < 'a' + 24; ++c) list.push_back(cache(std::string("c") + c));
+  Front f(base(), list);
+  int held = 0;
+  const auto one = [&](std::uint64_t o) {  // its fill stays out until the client leaves; others are answered
+    f.ask(o);
+    f.tries = 0;
+    held += f.attempt().held_only;
+    const std::uint64_t out = f.id;
+    for (std::uint64_t hot = 1; hot <= 100; ++hot) f.serve(hot);
+    f.now += 50 * kMs;
+    if (out > 20 * 101) f.control.abandoned(f.now, out - 20 * 101, f.last);
+  };
+  for (std::uint64_t o = 100; o < 112; ++o) one(o);  // the aim is 600 ms: none is overdue
+  EXPECT_EQ(held, 0);
+  for (std::uint64_t o = 200; o < 240; ++o) one(o);
+  EXPECT_GT(held, 20);
+  f.now += 6 * kSec;
+  held = 0;
+  for (std::uint64_t o = 300; o < 320; ++o) {
+    f.ask(o);
+    held += f.attempt().held_only;
+    f.tries = 0;
+    f.end(Status::kOk, Note::kFilledByOrigin);
+    f.now += 50 * kMs;
+  }
+  EXPECT_LT(held, 8);  // it gives again, and is asked again
+}
+
 TEST(Source, TheHubsParentsElseAllElseTheOrigin) {
   Front f(base(), {cache("a"), parent("near"), parent("far", 5), kOrigin});
   for (int i = 0; i < 20; ++i) EXPECT_EQ(f.serve(i).source, "near");
