Ask the origin by tokens of what it usually gives, once weak or after a group's purge

Seen: after the copies went void the fleet still sent about 250 fills a second past a parent to an origin that usually gives 190; it worked through a queue whose answers all came late (15 to 60 a second in time), and a hundred fronts learned of it each from one or two answers. Checked with new counters by what an attempt asked of its source: of 455 late attempts in a second 241 were free to go to the origin, 195 had joined a fill that was stuck there.

Change: Throttle remembers what the origin usually gives in time. A purge of a group, or late answers, make requests ask parents first for what they hold (never ran on a miss); what they lack goes on to the origin by tokens of that rate times a gain, which late answers halve and time and answers in time raise. Evidence weighs by the time since the last, for fronts that see little of it. The purge tells before any answer is late.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -49,10 +49,21 @@
 constexpr double kLateShare = 0.1;       // of fills; fewer late ones cut nothing
 constexpr double kLateSmooth = 0.06;  // weight of a fill in it: single late answers are no crowd
 constexpr double kLimitLeast = 2.0;      // requests of mean size, over the root of the location's fronts
-// The origin is asked for so many times what it gives. More lets it recover sooner, less spares it more:
-// 1.1 to 2.0 moved the grown sites by under 0.02.
-constexpr double kOverask = 1.2;
-constexpr double kOriginMemory = 1.0;    // seconds over which that is remembered
+constexpr double kOriginMemory = 10.0;  // seconds over which what the origin gives is remembered
+constexpr double kLateOrigin = 0.1;    // weight of an answer in the late share
+constexpr double kLateMemory = 0.5;     // seconds; evidence that is older counts less
+constexpr double kWeak = 0.3;           // a late share that makes it weak
+constexpr double kFirstGain = 1.0;      // of the usual, once it is weak
+constexpr double kPurgeGain = 2.5;      // and after a purge of a group
+constexpr double kGainCut = 0.5;      // when what was asked after the last cut is late too
+constexpr double kGainEach = 1.25;    // with an answer in time
+constexpr double kGainDoubles = 4.0;  // seconds
+constexpr double kLeastGain = 0.1;
+constexpr double kMostGain = 8.0;
+constexpr double kMostTokens = 2.0;  // that may be saved up
+constexpr double kLeastUsual = 0.2;  // answers a second, of a front that has seen none
+constexpr Time kFreeAfter = 2 * kSecond;   // without one held back it is asked freely again
+constexpr Time kForgotten = 10 * kSecond;  // so long without an answer, late ones are forgotten
 constexpr double kClearly = 2.0;         // this many times the other parent's time to first byte is slower
 // What a refused client is told to stay away, at most. On sockets an overloaded centre kept more the longer
 // it was: 0.83, 0.87, 0.87, 0.88 for 0, 250, 500, 1,000 ms. The simulator's overloaded days lose up to 0.05.
@@ -245,26 +256,58 @@
   }
 };
 
-// What the origin was wanted for and what it gave in time. Once it gives less, by refusals, failures or
-// lateness, so much less is asked of it. Holds against any cause of a weak origin; may hurt where it fails
-// single requests at random.
+// What the origin gives in time, and how much of it is asked for while it is weak or many copies have become
+// void. A front of many sees few of its answers: so what it usually gave is the measure, a purge of a group a
+// sign before any answer is late, and what it is asked for grows again with time as well as with answers.
 struct Throttle {
-  double wanted = 0.0, given = 0.0;
-  Time at = 0;
-  void fade(Time now) {
-    const double left = std::exp(-static_cast<double>(now - at) / (kOriginMemory * kSecond));
-    wanted *= left;
-    given *= left;
+  double usual = 0.0;  // answers in time a second, smoothed, while it is not paced
+  double gain = 0.0;   // of that; 0: not paced
+  double tokens = 0.0;
+  double late_share = 0.0;  // smoothed
+  Time at = 0, cut_at = 0, denied_at = 0, seen_at = 0;
+
+  void advance(Time now) {
+    const double passed = static_cast<double>(now - at) / kSecond;
     at = now;
+    if (gain <= 0.0) {
+      usual *= std::exp(-passed / kOriginMemory);
+      return;
+    }
+    gain = std::min(kMostGain, gain * std::exp2(passed / kGainDoubles));
+    tokens = std::min(kMostTokens, tokens + passed * gain * std::max(usual, kLeastUsual));
+    if (now - denied_at > kFreeAfter && (late_share < kWeak || now - seen_at > kForgotten)) gain = 0.0;
+  }
+  void pace(Time now, double to, double first) {
+    advance(now);
+    if (gain <= 0.0) tokens = first;
+    gain = gain <= 0.0 ? to : std::min(gain, to);
+    denied_at = now;
   }
-  void add(Time now, bool gave) {
-    fade(now);
-    wanted += 1.0;
-    given += gave ? 1.0 : 0.0;
+  void ended(Time now, Time sent, bool gave, double first) {
+    advance(now);
+    // What was seen long ago says little beside what is seen now: seldom answers weigh more each.
+    const double old = std::exp(-static_cast<double>(now - seen_at) / (kLateMemory * kSecond));
+    late_share += std::max(kLateOrigin, 1.0 - old) * ((gave ? 0.0 : 1.0) - late_share);
+    seen_at = now;
+    if (gave && gain <= 0.0) usual += 1.0 / kOriginMemory;
+    if (gave && gain > 0.0) gain = std::min(kMostGain, gain * kGainEach);
+    if (gave || late_share < kWeak || sent < cut_at) return;
+    pace(now, gain <= 0.0 ? kFirstGain : std::max(kLeastGain, kGainCut * gain), first);
+    cut_at = now;
+  }
+  bool paced(Time now) {
+    advance(now);
+    return gain > 0.0;
   }
-  double share(Time now) {
-    fade(now);
-    return std::min(1.0, (kOverask * given + 1.0) / (wanted + 1.0));
+  bool take(Time now) {
+    advance(now);
+    if (gain <= 0.0) return true;
+    if (tokens < 1.0) {
+      denied_at = now;
+      return false;
+    }
+    tokens -= 1.0;
+    return true;
   }
 };
 
@@ -281,6 +324,7 @@
   bool may_have_run = true;
   bool unexplained = false;     // an error that may be the request's own fault
   Status status = Status::kOk;  // how it ended
+  bool lacked() const { return held_only && status == Status::kMiss; }
 };
 
 struct Held {
@@ -325,6 +369,7 @@
     const auto& [sum, n] = class_work[static_cast<std::size_t>(&cls(r) - s.classes.data())];
     return n > 0.0 ? sum / n : work_of(r);
   }
+  double draw() { return static_cast<double>((random = mix(random)) >> 11) * 0x1.0p-53; }
   int fronts_here() const {  // at this location
     const auto zone = static_cast<std::size_t>(s.zone);
     return std::max(1, zone < s.zone_fronts.size() ? s.zone_fronts[zone] : 1);
@@ -390,6 +435,7 @@
     const Time at = now - p.age;
     Time& known = p.whole_group ? purged_groups[p.group] : purged_objects[p.object];
     known = std::max(known, at);
+    if (p.whole_group && p.age < kSecond) from_origin.pace(now, kPurgeGain, draw());
     const auto old = [&](const auto& kv) { return kv.second + s.purge_settle + kSecond < now; };
     std::erase_if(purged_objects, old);
     std::erase_if(purged_groups, old);
@@ -491,10 +537,12 @@
   }
 
   static bool tried(const Held& h, const Server* server) {
-    return std::any_of(h.tries.begin(), h.tries.end(), [&](const Try& t) { return t.server == server; });
+    return std::any_of(h.tries.begin(), h.tries.end(),
+                       [&](const Try& t) { return t.server == server && !t.lacked(); });
   }
   static bool tried_source(const Held& h, const Server* server) {
-    return std::any_of(h.tries.begin(), h.tries.end(), [&](const Try& t) { return t.source == server; });
+    return std::any_of(h.tries.begin(), h.tries.end(),
+                       [&](const Try& t) { return t.source == server && !t.lacked(); });
   }
 
   double scale_of(const Server& server) const {
@@ -623,7 +671,7 @@
     if (now + sending >= last || static_cast<int>(h.tries.size()) >= s.max_attempts)
       return finish(h, out, Why::kNoTime);
     // A connection's end is no sign of a crowd: what follows it is not held back.
-    const bool free = h.tries.empty() || h.tries.back().status == Status::kReset;
+    const bool free = h.tries.empty() || h.tries.back().status == Status::kReset || h.tries.back().lacked();
     if (!free && retries < 1.0) return finish(h, out, Why::kNoRetries);
     Server* server = pick_cache(now, h);
     Server* source = nullptr;
@@ -647,8 +695,8 @@
       source = server;
       h.stale_ok = true;  // an old copy within its grace beats a refusal
     }
-    const double lot = static_cast<double>((random = mix(random)) >> 11) * 0x1.0p-53;
-    if (t.fill && kept && lot >= from_origin.share(now)) {
+    const bool lacked = !h.tries.empty() && h.tries.back().lacked();  // a token was taken for what follows
+    if (t.fill && kept && !lacked && from_origin.paced(now)) {
       t.held_only = true;
       h.stale_ok = true;
       if (source->role == Role::kOrigin) source = server;
@@ -703,8 +751,8 @@
     if (answer) t.server->answered = now;
     learn(now, h, t, o);
     if (o.closed) return drop(o.id);
-    if (o.status == Status::kMiss && (!t.fill || t.held_only))
-      return finish(h, out, t.fill ? Why::kWeakOrigin : Why::kCrowdedFills);
+    if (o.status == Status::kMiss && !t.fill) return finish(h, out, Why::kCrowdedFills);
+    if (t.lacked() && !from_origin.take(now)) return finish(h, out, Why::kWeakOrigin);
     if (std::any_of(h.tries.begin(), h.tries.end(), [](const Try& x) { return x.open; })) return;
     const auto errors =
         std::count_if(h.tries.begin(), h.tries.end(), [](const Try& x) { return x.unexplained; });
@@ -718,8 +766,8 @@
     const bool failed = o.note == Note::kOriginFailed ||
                         (!ok && t.source->role == Role::kOrigin &&
                          (o.note == Note::kSourceRefused || o.note == Note::kSourceFailed));
-    if (failed || o.note == Note::kFilledByOrigin || (t.held_only && o.status == Status::kMiss)) {
-      if (!t.overdue || t.held_only) from_origin.add(now, ok && now <= wanted_by(h));
+    if (failed || o.note == Note::kFilledByOrigin) {
+      if (!t.overdue) from_origin.ended(now, t.at, ok && now <= wanted_by(h), draw());
       if (failed) return;  // says nothing of the links
     }
     if (!t.fill || t.overdue || (ok && (o.note == Note::kHit || o.note == Note::kStale))) return;
@@ -756,7 +804,7 @@
       if (t == nullptr || !t->open || !t->fill || t->server->answered < t->at || t->server->asked.out)
         continue;
       t->overdue = true;
-      if (!t->held_only) from_origin.add(now, false);  // its end may be the attempt's, too late to learn from
+      if (!t->held_only) from_origin.ended(now, t->at, false, draw());  // its end comes too late
       fill_late(now, *t);
     }
   }
--- a/src/links/counters.hpp
+++ b/src/links/counters.hpp
@@ -35,13 +35,22 @@
     kFilledMs,
     kViaOriginMs,
     kWaitedMs,    // of the filled and those by way of the origin, for the source's first byte
-    kNoFill,      // failed or refused for the fill's sake: its source, no place for it, the origin
+    kSrcRefused,  // not answered, with the note that the source refused; the next ones alike
+    kSrcBroke,
+    kSrcLacks,
+    kNoSlot,
+    kOriginFailed,
+    kHeld,        // of the attempts: the source was to give only what it held
+    kBare,        // of the attempts: no fill was allowed
+    kLateHeld,    // of the late, likewise
+    kLateBare,
     kWhats
   };
   static constexpr std::array<std::string_view, kWhats> kWords{
       "attempts",   "fills",  "hits",      "filled",       "via_origin", "joined", "lacks",
       "full",       "broke",  "late",      "unreached",    "reset",      "over",   "opened",  "refused",
-      "unanswered", "hit_ms", "filled_ms", "via_origin_ms", "waited_ms", "no_fill"};
+      "unanswered", "hit_ms", "filled_ms", "via_origin_ms", "waited_ms", "src_refused",
+      "src_broke",  "src_lacks", "no_slot", "origin_failed", "held",       "bare", "late_held", "late_bare"};
   std::array<std::uint32_t, kWhats> counts{};
 };
 
--- a/src/net/doorman.cpp
+++ b/src/net/doorman.cpp
@@ -117,6 +117,8 @@
 void Doorman::send(Ticket ticket, Open& open, const Step& step) {
   const std::int64_t now = unix_now();
   const Call& call = open.call;
+  open.bare = !step.source;
+  open.held_only = step.held_only && step.source;
   depot::Fetch fetch;
   fetch.id = call.id;
   fetch.profile = call.profile;
@@ -134,6 +136,7 @@
   open.depot = step.depot;
   open.sent_at = now;
   counters_.tally(step.depot, Tally::kAttempts);
+  if (open.held_only || open.bare) counters_.tally(step.depot, open.bare ? Tally::kBare : Tally::kHeld);
   if (step.source) counters_.tally(*step.source, Tally::kFills);
   open.sent = depots_.send({step.depot, step.source, call.id, depot::fetch_bytes(fetch), !call.tag.empty()},
                            [this, ticket](DepotPool::Reply&& reply) { ended(ticket, std::move(reply)); });
@@ -170,7 +173,10 @@
   if (what == Tally::kFilled) add(Tally::kFilledMs, ms);
   if (what == Tally::kViaOrigin) add(Tally::kViaOriginMs, ms);
   if (what == Tally::kFilled || what == Tally::kViaOrigin) add(Tally::kWaitedMs, report.waited / kMs);
-  if (report.remark > kRemarkStale && report.remark <= kRemarkOriginFailed) add(Tally::kNoFill, 1);
+  if (report.remark > kRemarkStale && report.remark <= kRemarkOriginFailed)
+    add(static_cast<Tally::What>(Tally::kSrcRefused + report.remark - kRemarkStale - 1), 1);
+  if (what == Tally::kLate && (open.held_only || open.bare))
+    add(open.bare ? Tally::kLateBare : Tally::kLateHeld, 1);
 }
 
 // The attempt's time is over. What had not gone out by then never ran.
--- a/src/net/doorman.hpp
+++ b/src/net/doorman.hpp
@@ -43,6 +43,7 @@
     DepotPool::Handle sent = 0;  // 0: no attempt is out
     depot::Id depot = 0;         // of the last attempt, and when it was sent
     std::int64_t sent_at = 0;
+    bool held_only = false, bare = false;  // what it asked of its source; bare: nothing
     asio::steady_timer timer;    // of the attempt
   };
   void act(Ticket ticket, const Step& step);
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -222,6 +222,47 @@
   EXPECT_LT(held, 8);  // it gives again, and is asked again
 }
 
+TEST(Source, AfterAPurgeOfAGroupParentsAreAskedFirstAndTheOriginForLittleMoreThanUsual) {
+  Front f;
+  std::uint64_t o = 100;
+  for (int i = 0; i < 300; ++i) {  // 30 s with two answers by way of the origin in a second
+    f.serve(++o, 0, 100.0, i % 5 == 0 ? Note::kFilledByOrigin : Note::kHit);
+    f.now += 100 * kMs;
+  }
+  EXPECT_FALSE(f.attempt().held_only);
+  Purge p;
+  p.whole_group = true;
+  p.group = 7;
+  f.control.purged(f.now, p, f.last);
+  int by_origin = 0, refused = 0;
+  for (int i = 0; i < 50; ++i) {  // 5 s in which no parent holds anything: all would go to the origin
+    f.ask(++o);
+    EXPECT_TRUE(f.attempt().held_only);
+    const std::string first = f.attempt().server;
+    f.end(Status::kMiss, Note::kSourceLacks);
+    if (f.attempted()) {
+      ++by_origin;
+      EXPECT_FALSE(f.attempt().held_only);
+      if (by_origin == 1) {
+        EXPECT_EQ(f.attempt().server, first);  // which lacked it, and is its home
+      }
+      f.end(Status::kTimeout, Note::kNone, 2 * kSec);
+      f.control.abandoned(f.now, f.id, f.last);
+    } else {
+      EXPECT_TRUE(f.refused());
+      ++refused;
+    }
+    f.tries = 0;
+    f.now += 100 * kMs;
+  }
+  EXPECT_EQ(by_origin + refused, 50);
+  EXPECT_GE(by_origin, 10);
+  EXPECT_LE(by_origin, 35);
+  f.now += 60 * kSec;
+  f.ask(++o);
+  EXPECT_FALSE(f.attempt().held_only);
+}
+
 TEST(Source, TheHubsParentsElseAllElseTheOrigin) {
   Front f(base(), {cache("a"), parent("near"), parent("far", 5), kOrigin});
   for (int i = 0; i < 20; ++i) EXPECT_EQ(f.serve(i).source, "near");
