Tell a weak origin from crowded links, and end its pacing at eight times the usual

Checked by counts: refusals for want of a token (5 to 10 a second, from bursts of bad clients) kept the pacing on, and a front with 20 answers a second by way of the origin grew its gain by each of them.

Change: lateness counts against the origin only while what parents held comes in time; the gain grows by as many answers as the origin gives in a second, not by each; at eight times the usual the pacing ends; tokens saved follow the rate.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -50,20 +50,18 @@
 constexpr double kLateSmooth = 0.06;  // weight of a fill in it: single late answers are no crowd
 constexpr double kLimitLeast = 2.0;      // requests of mean size, over the root of the location's fronts
 constexpr double kOriginMemory = 10.0;  // seconds over which what the origin gives is remembered
-constexpr double kLateOrigin = 0.1;    // weight of an answer in the late share
-constexpr double kLateMemory = 0.5;     // seconds; evidence that is older counts less
-constexpr double kWeak = 0.3;           // a late share that makes it weak
-constexpr double kFirstGain = 1.0;      // of the usual, once it is weak
-constexpr double kPurgeGain = 2.5;      // and after a purge of a group
+constexpr double kLateOrigin = 0.1, kLateMemory = 0.5;  // an answer's least weight in the late share; seconds
+constexpr double kLinksSmooth = 0.15;   // weight of an answer in that of the links
+constexpr double kWeak = 0.3;           // a late share that makes weak
+constexpr double kFirstGain = 1.0, kPurgeGain = 4.0;   // of the usual, once it is weak; after a group's purge
+constexpr double kLeastGain = 0.1, kMostGain = 8.0;    // above the most it is asked freely again
 constexpr double kGainCut = 0.5;      // when what was asked after the last cut is late too
-constexpr double kGainEach = 1.25;    // with an answer in time
+constexpr double kGainEach = 1.4;     // with each answer in time, or with as many as it gives in a second
 constexpr double kGainDoubles = 4.0;  // seconds
-constexpr double kLeastGain = 0.1;
-constexpr double kMostGain = 8.0;
-constexpr double kMostTokens = 2.0;  // that may be saved up
-constexpr double kLeastUsual = 0.2;  // answers a second, of a front that has seen none
-constexpr Time kFreeAfter = 2 * kSecond;   // without one held back it is asked freely again
-constexpr Time kForgotten = 10 * kSecond;  // so long without an answer, late ones are forgotten
+constexpr double kMostTokens = 2.0, kTokensFor = 0.3;  // saved up: so many, or for so many seconds
+constexpr double kLeastUsual = 0.2;         // answers a second, of a front that has seen none
+constexpr Time kFreeAfter = 2 * kSecond;    // without one held back it is asked freely again
+constexpr Time kForgotten = 10 * kSecond;   // so long without an answer, late ones are forgotten
 constexpr double kClearly = 2.0;         // this many times the other parent's time to first byte is slower
 // What a refused client is told to stay away, at most. On sockets an overloaded centre kept more the longer
 // it was: 0.83, 0.87, 0.87, 0.88 for 0, 250, 500, 1,000 ms. The simulator's overloaded days lose up to 0.05.
@@ -273,13 +271,15 @@
       usual *= std::exp(-passed / kOriginMemory);
       return;
     }
-    gain = std::min(kMostGain, gain * std::exp2(passed / kGainDoubles));
-    tokens = std::min(kMostTokens, tokens + passed * gain * std::max(usual, kLeastUsual));
-    if (now - denied_at > kFreeAfter && (late_share < kWeak || now - seen_at > kForgotten)) gain = 0.0;
+    gain *= std::exp2(passed / kGainDoubles);
+    const double rate = gain * std::max(usual, kLeastUsual);
+    tokens = std::min(std::max(kMostTokens, kTokensFor * rate), tokens + passed * rate);
+    const bool enough = now - denied_at > kFreeAfter && (late_share < kWeak || now - seen_at > kForgotten);
+    if (enough || gain > kMostGain) gain = 0.0;
   }
   void pace(Time now, double to, double first) {
     advance(now);
-    if (gain <= 0.0) tokens = first;
+    if (gain <= 0.0) tokens = first * std::max(1.0, 2.0 * kTokensFor * to * usual);
     gain = gain <= 0.0 ? to : std::min(gain, to);
     denied_at = now;
   }
@@ -290,7 +290,7 @@
     late_share += std::max(kLateOrigin, 1.0 - old) * ((gave ? 0.0 : 1.0) - late_share);
     seen_at = now;
     if (gave && gain <= 0.0) usual += 1.0 / kOriginMemory;
-    if (gave && gain > 0.0) gain = std::min(kMostGain, gain * kGainEach);
+    if (gave && gain > 0.0) gain *= std::pow(kGainEach, 1.0 / std::max(1.0, usual));
     if (gave || late_share < kWeak || sent < cut_at) return;
     pace(now, gain <= 0.0 ? kFirstGain : std::max(kLeastGain, kGainCut * gain), first);
     cut_at = now;
@@ -350,6 +350,7 @@
   std::map<std::uint64_t, Time> purged_objects;  // when each was purged
   std::map<int, Time> purged_groups;
   Throttle from_origin;
+  double links_late = 0.0;  // smoothed share of what parents held that came late
   double retries = kRetryStore;  // further attempts in hand: a crowd must not be answered with more load
   std::vector<std::pair<double, double>> class_work;  // per class: sum of sending times, requests
 
@@ -767,9 +768,13 @@
                         (!ok && t.source->role == Role::kOrigin &&
                          (o.note == Note::kSourceRefused || o.note == Note::kSourceFailed));
     if (failed || o.note == Note::kFilledByOrigin) {
-      if (!t.overdue) from_origin.ended(now, t.at, ok && now <= wanted_by(h), draw());
+      const bool gave = ok && now <= wanted_by(h);
+      if (!t.overdue && (failed || gave || links_late < kWeak)) from_origin.ended(now, t.at, gave, draw());
       if (failed) return;  // says nothing of the links
     }
+    // What parents held comes late where the links are crowded: then lateness is no sign of a weak origin.
+    const double late = now > wanted_by(h) ? 1.0 : 0.0;
+    if (ok && o.note == Note::kFilled) links_late += kLinksSmooth * (late - links_late);
     if (!t.fill || t.overdue || (ok && (o.note == Note::kHit || o.note == Note::kStale))) return;
     if (o.status == Status::kTimeout && !fair(h, o)) return;
     if (o.status == Status::kTimeout && (t.server->answered < t.at || t.server->asked.out))
@@ -794,8 +799,7 @@
     const double from = crowd.limit > 0.0 ? std::min(crowd.limit, crowd.peak) : crowd.peak;
     crowd.limit = std::max(kLimitLeast * mean_work() / std::sqrt(fronts_here()), kLimitCut * from);
   }
-  // A fill that is overdue counts as late at once: when a crowd has slowed everything, its end is seconds
-  // off.
+  // A fill that is overdue counts as late at once: where all is slow, its end is seconds off.
   void find_overdue(Time now) {
     while (!due.empty() && due.begin()->first < now) {
       Held& h = held.at(due.begin()->second);
@@ -804,7 +808,7 @@
       if (t == nullptr || !t->open || !t->fill || t->server->answered < t->at || t->server->asked.out)
         continue;
       t->overdue = true;
-      if (!t->held_only) from_origin.ended(now, t->at, false, draw());  // its end comes too late
+      if (!t->held_only && links_late < kWeak) from_origin.ended(now, t->at, false, draw());
       fill_late(now, *t);
     }
   }
