--- a/src/control.cpp
+++ b/src/control.cpp
@@ -53,8 +53,8 @@
 constexpr double kLateOrigin = 0.1, kLateMemory = 0.5;  // an answer's least weight in the late share; seconds
 constexpr double kLinksSmooth = 0.15;   // weight of an answer in that of the links
 constexpr double kWeak = 0.3;           // a late share that makes weak
-constexpr double kFirstGain = 1.0, kPurgeGain = 4.0;   // of the usual, once it is weak; after a group's purge
-constexpr double kLeastGain = 0.1, kMostGain = 8.0;    // above the most it is asked freely again
+constexpr double kFirstGain = 1.0, kPurgeGain = 2.0;   // of the usual, once it is weak; after a group's purge
+constexpr double kLeastGain = 0.1, kMostGain = 32.0;    // above the most it is asked freely again
 constexpr double kGainCut = 0.5;      // when what was asked after the last cut is late too
 constexpr double kGainEach = 1.4;     // with each answer in time, or with as many as it gives in a second
 constexpr double kGainDoubles = 4.0;  // seconds
