Let two requests share a connection where handshakes have a price

The pool opens a connection for each request that finds none idle (link_for), which keeps what spoils one request from the others and suits three doormans.

Change: the price is read from the settings; with one, a connection takes two requests before another is opened. Without it nothing changes. A held-first step asks for no copy past its fresh time where the class has no grace, so that the field is left out as before (max_age).

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -249,6 +249,8 @@
   c.connect_timeout = get<std::int64_t>(permits, "connect_timeout", 400'000'000);
   c.connection_idle = get<std::int64_t>(permits, "conn_idle", 30'000'000'000);
   c.streams = std::max(1, get<int>(permits, "max_streams", 100));
+  if (const auto prices = find(settings, "prices"))
+    c.handshake_price = get<double>(*prices, "handshake", 0.0);
   const auto zones = list<std::string>(settings, "zones");
   const auto kinds = list<std::string>(settings, "machine_types");
   if (const auto known = find(e, "known")) {
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -29,6 +29,7 @@
   std::int64_t connect_timeout = 0;  // nanoseconds
   std::int64_t connection_idle = 0;  // nanoseconds
   int streams = 1;                   // attempts open on one connection
+  double handshake_price = 0.0;      // of a connection opened, in worth of a request; 0: none is told
   std::uint64_t known_number = 0;    // of the last event in `known`
   std::vector<bus::Event> known;
 };
--- a/src/control.cpp
+++ b/src/control.cpp
@@ -450,7 +450,7 @@
   // The oldest copy that will do; 0 only where no purge and no grace narrows or widens the default.
   Time max_age(Time now, const Held& h) const {
     const ClassSettings& c = cls(h.r);
-    Time age = h.stale_ok && c.fresh > 0 ? c.fresh + c.grace : 0;
+    Time age = h.stale_ok && c.fresh > 0 && c.grace > 0 ? c.fresh + c.grace : 0;
     const Time at = purge_of(h.r);
     if (at != 0 && now <= at + s.purge_settle + kSecond) {
       const Time bound = std::max<Time>(1, now - at - kMs);
@@ -699,7 +699,7 @@
     const bool lacked = !h.tries.empty() && h.tries.back().lacked();  // a token was taken for what follows
     if (t.fill && kept && !lacked && from_origin.paced(now)) {
       t.held_only = true;
-      h.stale_ok = true;
+      h.stale_ok = h.stale_ok || from_origin.tokens < 1.0;
       if (source->role == Role::kOrigin) source = server;
     }
     Attempt a;
--- a/src/links/depot_pool.cpp
+++ b/src/links/depot_pool.cpp
@@ -339,7 +339,9 @@
   for (const auto& link : known.links) {
     if ((least == nullptr || link->load() < least->load()) && link->takes(id)) least = link;
   }
-  if (least != nullptr && (least->load() == 0 || links_ >= limits_.links)) return least;
+  // Where a handshake has its price and connections at depots are scarce for the many fronts, up to so many
+  // share one.
+  if (least != nullptr && (least->load() < limits_.share || links_ >= limits_.links)) return least;
   if (links_ >= limits_.links + kSpare) return nullptr;
   auto link = std::make_shared<Link>(*this, known.depot);
   known.links.push_back(link);
--- a/src/links/depot_pool.hpp
+++ b/src/links/depot_pool.hpp
@@ -25,6 +25,7 @@
     std::chrono::nanoseconds idle{30'000'000'000};
     int streams = 100;       // requests open on one connection
     std::size_t links = 64;  // connections to all depots
+    std::size_t share = 1;   // requests on one before another is opened, at least 1
   };
   struct Order {
     depot::Id depot = 0;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -26,6 +26,7 @@
 // After SIGTERM clients keep coming for a while; only then is the end of all that is open the end of the
 // work.
 constexpr auto kServeOn = std::chrono::milliseconds(1000);
+constexpr std::size_t kShared = 2;
 constexpr auto kLookAgain = std::chrono::milliseconds(10);
 
 std::string environment(const char* name) {
@@ -40,7 +41,7 @@
         facade_(c.settings),
         depots_(io_, counters_,
                 {std::chrono::nanoseconds(c.connect_timeout), std::chrono::nanoseconds(c.connection_idle),
-                 c.streams, link_limit(c)}),
+                 c.streams, link_limit(c), share_of(c)}),
         doorman_(io_, facade_, depots_, counters_, classes_of(c)),
         front_(io_, doorman_, counters_, front_limits(c)),
         bus_(io_, counters_, net::endpoint_of(c.bus.address, c.bus.port), c.known_number,
@@ -89,6 +90,11 @@
   static std::size_t link_limit(const config::Config& c) {
     return static_cast<std::size_t>(std::clamp<std::uint64_t>(c.sockets / 4, 8, 256));
   }
+  // One request a connection keeps what spoils it from the others; where handshakes have a price, and so are
+  // scarce, a few share one.
+  static std::size_t share_of(const config::Config& c) {
+    return c.handshake_price > 0.0 ? std::min<std::size_t>(kShared, static_cast<std::size_t>(c.streams)) : 1;
+  }
   static net::Front::Limits front_limits(const config::Config& c) {
     net::Front::Limits limits;
     // Clients that behave hold at most a third of the descriptors; more would starve the depots' connections.
--- a/tests/doorman_test.cpp
+++ b/tests/doorman_test.cpp
@@ -785,3 +785,23 @@
   CHECK((told("\"s-00000001\":{\"kind\":0") || told("\"s-00000002\":{\"kind\":0")));
   CHECK((told("\"opened\":1") && told("\"no_time\":1") && told("\"hits\":1")));
 }
+
+TEST_CASE("Two requests share a connection where handshakes have a price, and have one each elsewhere") {
+  const bool priced = GENERATE(false, true);
+  INFO(priced);
+  Site site;
+  if (priced) site.change(R"("settings":{)", R"("settings":{"prices":{"handshake":0.08},)");
+  site.start();
+  Stream client = site.client();
+  std::vector<Heard> heard;
+  for (int n = 1; n <= 3; ++n) {  // of one object, so at one depot
+    Ask ask;
+    ask.id = numbered(n).id;
+    client.write(request(static_cast<std::uint16_t>(n), ask));
+    heard.push_back(site.caches.next());
+    CHECK(heard.back().depot == heard[0].depot);
+  }
+  CHECK(site.caches.accepted() == (priced ? 2 : 3));  // the third finds both places of the first taken
+  for (const Heard& h : heard) h.say("DONE", "remark=hit", "x");
+  for (int n = 1; n <= 3; ++n) CHECK(answer(client).body == "x");
+}
