List the report's counters in a table, and check that each tally has its word

Need: a read of the change found twelve calls of one shape in Reports::print, and nothing that tied the words of a tally to their enumeration. Change: a table, and a static assertion that the last word is there. Measured: the report's test passes under ASan and UBSan; README's try it was run again with the same commands (four answers of 200, rank=2 from the third request on, exit 0).

--- a/src/links/counters.hpp
+++ b/src/links/counters.hpp
@@ -51,6 +51,7 @@
       "full",       "broke",  "late",      "unreached",    "reset",      "over",   "opened",  "refused",
       "unanswered", "hit_ms", "filled_ms", "via_origin_ms", "waited_ms", "src_refused",
       "src_broke",  "src_lacks", "no_slot", "origin_failed", "held",       "bare", "late_held", "late_bare"};
+  static_assert(!kWords.back().empty(), "a word for each");
   std::array<std::uint32_t, kWhats> counts{};
 };
 
--- a/src/net/reports.cpp
+++ b/src/net/reports.cpp
@@ -8,6 +8,15 @@
 namespace anisewick::net {
 namespace {
 
+constexpr std::pair<const char*, std::uint64_t Counters::*> kCounters[] = {
+    {"taken", &Counters::taken},   {"left", &Counters::left},
+    {"served", &Counters::served}, {"same", &Counters::same},
+    {"refused", &Counters::refused}, {"failed", &Counters::failed},
+    {"sent", &Counters::sent},     {"links", &Counters::links},
+    {"late_answers", &Counters::late_answers}, {"lists", &Counters::lists},
+    {"purges", &Counters::purges}, {"bus_lost", &Counters::bus_lost},
+};
+
 double cpu_ms() {
   rusage used{};
   if (::getrusage(RUSAGE_SELF, &used) != 0) return 0.0;
@@ -34,24 +43,12 @@
 
 void Reports::print() {
   std::ostringstream line;
-  const auto since = [&](const char* name, std::uint64_t Counters::*counter) {
-    line << ",\"" << name << "\":" << counters_.*counter - last_.*counter;
-  };
   line << "{\"unix_ms\":" << unix_now() / 1'000'000;
   const double cpu = cpu_ms();
   line << ",\"cpu_ms\":" << cpu - std::exchange(cpu_ms_, cpu);
-  since("taken", &Counters::taken);
-  since("left", &Counters::left);
-  since("served", &Counters::served);
-  since("same", &Counters::same);
-  since("refused", &Counters::refused);
-  since("failed", &Counters::failed);
-  since("sent", &Counters::sent);
-  since("links", &Counters::links);
-  since("late_answers", &Counters::late_answers);
-  since("lists", &Counters::lists);
-  since("purges", &Counters::purges);
-  since("bus_lost", &Counters::bus_lost);
+  for (const auto& [name, counter] : kCounters) {
+    line << ",\"" << name << "\":" << counters_.*counter - last_.*counter;
+  }
   line << ",\"given_up\":{";
   const char* comma = "";
   for (const auto& [word, n] : counters_.given_up) {
