Add the operators' door, depots taken out, drains, and the inherited listening socket

Change: src/door (HTTP/1.1 by http-parser, one call a connection, 16 connections set aside), src/holds (the operators' word laid over the bus's list), src/lifecycle (what a doorman is there for at any moment), src/service (the wiring that main held), RELAY_FD checked and never shut down. A connection that the kernel has handed over when accepting stops is now served; before it was dropped.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -239,6 +239,7 @@
   c.name = get<std::string>(e, "name", "");
   c.listen = endpoint_from(need<std::string>(e, "listen"));
   c.bus = endpoint_from(need<std::string>(e, "bus"));
+  if (const auto ops = find(e, "ops")) c.ops = endpoint_from(value_of<std::string>(*ops, "ops"));
   const element limits = need(e, "limits");
   c.memory_mb = need<std::uint64_t>(limits, "memory_mb");
   c.sockets = need<std::uint64_t>(limits, "sockets");
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -3,6 +3,7 @@
 #define ANISEWICK_CONFIG_HPP_
 
 #include <cstdint>
+#include <optional>
 #include <stdexcept>
 #include <string>
 #include <string_view>
@@ -22,6 +23,7 @@
   std::string name;
   Endpoint listen;
   Endpoint bus;
+  std::optional<Endpoint> ops;  // where operators call; none: there is no door for them
   std::uint64_t memory_mb = 0;
   std::uint64_t sockets = 0;
   anisewick::Settings settings;
--- /dev/null
+++ b/src/door/door.cpp
@@ -0,0 +1,128 @@
+#include "door/door.hpp"
+
+#include <array>
+#include <utility>
+
+namespace anisewick::door {
+namespace {
+
+using links::Error;
+using links::Tcp;
+
+// Longer than any caller takes who means it; then the connection is given back.
+constexpr std::chrono::seconds kLife{5};
+// After the answer: so long is read on, so that what was sent beyond the call does not reset the answer away.
+constexpr std::chrono::milliseconds kLinger{500};
+constexpr std::chrono::milliseconds kAcceptAgain{20};
+
+}  // namespace
+
+class Door::Visitor : public std::enable_shared_from_this<Visitor> {
+ public:
+  Visitor(Door& door, Tcp::socket socket)
+      : door_(door), socket_(std::move(socket)), timer_(door.io_) {}
+
+  void start() {
+    limit(kLife);
+    read();
+  }
+  void close() {
+    if (std::exchange(closed_, true)) return;
+    if (!answered_) ++door_.tally_.silent;
+    Error ignored;
+    timer_.cancel();
+    socket_.close(ignored);
+    door_.visitors_.remove(shared_from_this());
+  }
+  bool answered() const { return answered_; }
+
+ private:
+  void limit(std::chrono::milliseconds after) {
+    timer_.expires_after(after);
+    timer_.async_wait([self = shared_from_this()](Error error) {
+      if (!error) self->close();
+    });
+  }
+  void read() {
+    socket_.async_read_some(asio::buffer(in_), [self = shared_from_this()](Error error, std::size_t n) {
+      if (self->closed_) return;
+      if (error) return self->close();
+      if (!self->answered_) self->came({self->in_.data(), n});
+      if (!self->closed_) self->read();
+    });
+  }
+  void came(std::string_view bytes) {
+    switch (reader_.feed(bytes)) {
+      case CallReader::State::kMore:
+        return;
+      case CallReader::State::kBad:
+        return answer({reader_.status(), "this is no call that can be read"}, {});
+      case CallReader::State::kCall:
+        break;
+    }
+    const Routed routed = route(reader_.method(), reader_.path());
+    if (routed.status == 0) return answer(door_.answer_(routed.call), {});
+    answer({routed.status, routed.status == 400   ? "a depot's id is s- and 8 hex digits"
+                           : routed.status == 405 ? "this path takes another method"
+                                                  : "there is no such call"},
+           routed.allow);
+  }
+  void answer(const Verdict& verdict, std::string_view allow) {
+    answered_ = true;
+    ++(verdict.status < 400 ? door_.tally_.calls : door_.tally_.refused);
+    out_ = answer_bytes(verdict.status, allow, verdict.line);
+    limit(kLinger);
+    asio::async_write(socket_, asio::buffer(out_), [self = shared_from_this()](Error error, std::size_t) {
+      if (self->closed_) return;
+      if (error) return self->close();
+      self->socket_.shutdown(Tcp::socket::shutdown_send, error);
+    });
+  }
+
+  Door& door_;
+  Tcp::socket socket_;
+  asio::steady_timer timer_;
+  CallReader reader_;
+  std::array<char, 2048> in_;
+  std::string out_;
+  bool answered_ = false, closed_ = false;
+};
+
+Door::Door(asio::io_context& io, Answerer answer)
+    : io_(io), answer_(std::move(answer)), acceptor_(io), again_(io) {}
+Door::~Door() = default;
+
+void Door::listen(const Tcp::endpoint& at, Error& error) {
+  acceptor_.open(at.protocol(), error);
+  if (!error) acceptor_.set_option(Tcp::acceptor::reuse_address(true), error);
+  if (!error) acceptor_.bind(at, error);
+  if (!error) acceptor_.listen(asio::socket_base::max_listen_connections, error);
+  if (!error) accept();
+}
+
+void Door::accept() {
+  acceptor_.async_accept([this](Error error, Tcp::socket socket) {
+    if (!acceptor_.is_open()) return;
+    if (error) {  // out of descriptors, say: those who are silent give theirs back
+      if (!visitors_.empty()) visitors_.front()->close();
+      again_.expires_after(kAcceptAgain);
+      again_.async_wait([this](Error e) {
+        if (!e) accept();
+      });
+      return;
+    }
+    // The oldest goes: it had the most time, and one that means its call has ended it long since.
+    if (visitors_.size() >= kConnections) visitors_.front()->close();
+    visitors_.push_back(std::make_shared<Visitor>(*this, std::move(socket)));
+    visitors_.back()->start();
+    accept();
+  });
+}
+
+void Door::close() {
+  Error ignored;
+  again_.cancel();
+  acceptor_.close(ignored);
+}
+
+}  // namespace anisewick::door
--- /dev/null
+++ b/src/holds/holds.cpp
@@ -0,0 +1,100 @@
+#include "holds/holds.hpp"
+
+#include <algorithm>
+
+namespace anisewick::holds {
+
+using Kind = bus::Event::Kind;
+
+std::optional<bus::Event> Holds::detach(depot::Id id, std::int64_t now_ms) {
+  if (!told_.contains(id)) return std::nullopt;
+  const auto it = marks_.find(id);
+  if (it != marks_.end() && it->second.held) return bus::Event{};
+  // A clock that was set back must not make the newer call the older one.
+  const std::int64_t at = it == marks_.end() ? now_ms : std::max(now_ms, it->second.at_ms + 1);
+  set({id, true, at});
+  return change_of({id});
+}
+
+std::optional<bus::Event> Holds::attach(depot::Id id, std::int64_t now_ms) {
+  if (!told_.contains(id) && !marks_.contains(id)) return std::nullopt;
+  const auto it = marks_.find(id);
+  if (it == marks_.end() || !it->second.held) return bus::Event{};
+  set({id, false, std::max(now_ms, it->second.at_ms + 1)});
+  return change_of({id});
+}
+
+bus::Event Holds::over(bus::Event event) {
+  if (event.kind != Kind::kWholeList && event.kind != Kind::kChanges) return event;
+  if (event.kind == Kind::kWholeList) {
+    for (auto& [id, depot] : told_) depot.state = bus::State::kGone;
+  }
+  for (bus::Depot& d : event.depots) {
+    told_[d.id] = d;
+    d = effective(d);
+  }
+  trim();
+  return event;
+}
+
+bus::Event Holds::merge(const std::vector<Mark>& marks) {
+  std::vector<depot::Id> changed;
+  for (const Mark& mark : marks) {
+    if (set(mark)) changed.push_back(mark.depot);
+  }
+  trim();
+  return change_of(changed);
+}
+
+std::vector<Mark> Holds::marks() const {
+  std::vector<Mark> all;
+  for (const auto& [id, mark] : marks_) all.push_back(mark);
+  return all;
+}
+
+bool Holds::set(const Mark& mark) {
+  const auto [it, fresh] = marks_.emplace(mark.depot, mark);
+  if (fresh) return true;
+  const bool later = mark.at_ms > it->second.at_ms || (mark.at_ms == it->second.at_ms && mark.held);
+  if (!later || it->second == mark) return false;
+  it->second = mark;
+  return true;
+}
+
+bus::Depot Holds::effective(const bus::Depot& told) const {
+  bus::Depot d = told;
+  const auto it = marks_.find(d.id);
+  if (it == marks_.end()) return d;
+  if (it->second.held) {
+    if (d.state == bus::State::kReady) d.state = bus::State::kDraining;
+  } else {
+    d.started_ms = std::max(d.started_ms, it->second.at_ms);
+  }
+  return d;
+}
+
+bus::Event Holds::change_of(const std::vector<depot::Id>& ids) const {
+  bus::Event event;
+  for (const depot::Id id : ids) {
+    if (const auto it = told_.find(id); it != told_.end()) event.depots.push_back(effective(it->second));
+  }
+  if (!event.depots.empty()) event.kind = Kind::kChanges;
+  return event;
+}
+
+// Bounded: of those that have gone, the ones that nobody spoke about are forgotten first. A mark that no
+// longer holds anything goes with its depot; one that holds stays, for the depot may come again.
+void Holds::trim() {
+  if (told_.size() > kMost) {
+    std::erase_if(told_, [&](const auto& kv) {
+      return kv.second.state == bus::State::kGone && !marks_.contains(kv.first);
+    });
+  }
+  if (marks_.size() <= kMost) return;
+  std::erase_if(marks_, [&](const auto& kv) {
+    const auto it = told_.find(kv.first);
+    return !kv.second.held && (it == told_.end() || it->second.state == bus::State::kGone);
+  });
+}
+
+}  // namespace anisewick::holds
--- /dev/null
+++ b/src/holds/holds.hpp
@@ -0,0 +1,54 @@
+// The operators' word on depots, laid over the event bus's list. No I/O, no clock. One owner, one thread.
+#ifndef ANISEWICK_HOLDS_HPP_
+#define ANISEWICK_HOLDS_HPP_
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include "bus/bus.hpp"
+#include "depot/depot.hpp"
+
+namespace anisewick::holds {
+
+// The last call about a depot. Of two the later one counts; of two at one moment the one that takes it out.
+struct Mark {
+  depot::Id depot = 0;
+  bool held = false;
+  std::int64_t at_ms = 0;  // Unix time of the call
+  bool operator==(const Mark&) const = default;
+};
+
+class Holds {
+ public:
+  // Nothing where nobody has that id; else the changes that those who follow the list have to heed, which are
+  // none where the call changes nothing. `now_ms` is Unix time.
+  std::optional<bus::Event> detach(depot::Id id, std::int64_t now_ms);
+  std::optional<bus::Event> attach(depot::Id id, std::int64_t now_ms);
+
+  // A list, whole or changes, as it is to be heeded; other events pass as they are. Held means draining, for
+  // requests and as a source; put back means started then, at the earliest.
+  bus::Event over(bus::Event event);
+
+  // What another process of the same doorman was told: taken where it is later. What is to be heeded.
+  bus::Event merge(const std::vector<Mark>& marks);
+  std::vector<Mark> marks() const;
+
+ private:
+  // Known at once: more than the decisions keep.
+  static constexpr std::size_t kMost = 8192;
+
+  bool set(const Mark& mark);
+  bus::Depot effective(const bus::Depot& told) const;
+  bus::Event change_of(const std::vector<depot::Id>& ids) const;
+  void trim();
+
+  std::map<depot::Id, bus::Depot> told_;  // the bus's last word
+  std::map<depot::Id, Mark> marks_;
+};
+
+}  // namespace anisewick::holds
+
+#endif  // ANISEWICK_HOLDS_HPP_
--- /dev/null
+++ b/src/lifecycle/lifecycle.cpp
@@ -0,0 +1,72 @@
+#include "lifecycle/lifecycle.hpp"
+
+#include <algorithm>
+
+namespace anisewick::lifecycle {
+
+bool Life::duck(Time now, bool on) {
+  if (on == duck_at_.has_value()) return false;
+  duck_at_ = on ? std::optional<Time>(now) : std::nullopt;
+  return true;
+}
+
+// All is in that a request's decisions need. One that takes over from another also waits for the bus, which
+// tells what came since the configuration was written; but not for ever for a bus that is away.
+bool Life::awake(Time now) const {
+  if (!listed_ || !handed_over_) return false;
+  return !predecessor_ || caught_up_ || now - started_ >= kBusPatience;
+}
+
+Phase Life::phase(Time now) const {
+  if (term_at_) return Phase::kEnding;
+  if (!awake(now)) return Phase::kStarting;
+  if (duck_at_) return Phase::kDuck;
+  return successor_ ? Phase::kStandby : Phase::kServing;
+}
+
+Duty Life::duty(Time now) const {
+  Duty duty;
+  // Whatever changes by itself: the first moment that is still ahead.
+  const auto from = [&](Time at) {
+    if (now >= at) return true;
+    duty.changes = std::min(duty.changes, at);
+    return false;
+  };
+  switch (phase(now)) {
+    case Phase::kStarting:
+      // On a socket of one's own those who come early find out by asking; a shared one is left to the others.
+      duty.accept = !shared_;
+      if (listed_ && handed_over_) from(started_ + kBusPatience);
+      break;
+    case Phase::kServing:
+      duty.ready = duty.accept = true;
+      break;
+    case Phase::kStandby:
+      duty.ready = true;
+      duty.close_idle = true;
+      break;
+    case Phase::kDuck:
+      duty.accept = !successor_;
+      duty.close_idle = from(*duck_at_ + kFrontHears);
+      duty.refuse = from(*duck_at_ + kRefuseAfter);
+      break;
+    case Phase::kEnding:
+      duty.must_end = from(*term_at_ + std::max(longest_, kLeastDeadline) + kKillAfter - kKillMargin);
+      if (successor_) {
+        duty.close_idle = duty.may_end = true;
+      } else {
+        duty.may_end = from(*term_at_ + kServeOn);
+        duty.accept = !duty.may_end;
+        duty.ready = duty.accept && !duck_at_;
+      }
+      // One that was told to empty goes on emptying.
+      if (duck_at_) {
+        duty.close_idle = from(*duck_at_ + kFrontHears) || duty.close_idle;
+        duty.refuse = from(*duck_at_ + kRefuseAfter);
+      }
+      break;
+  }
+  return duty;
+}
+
+}  // namespace anisewick::lifecycle
--- a/src/net/call.hpp
+++ b/src/net/call.hpp
@@ -34,7 +34,6 @@
 class Calls {
  public:
   virtual ~Calls() = default;
-  virtual bool ready() const = 0;
   virtual void taken(Ticket ticket, Call&& call) = 0;
   virtual void left(Ticket ticket) = 0;  // the client waits no longer: no answer is owed
 };
--- a/src/net/doorman.hpp
+++ b/src/net/doorman.hpp
@@ -32,7 +32,7 @@
   void start() { tick(); }
   void close() { ticking_.cancel(); }
 
-  bool ready() const override { return listed_; }
+  bool listed() const { return listed_; }  // there was a whole list
   void taken(Ticket ticket, Call&& call) override;
   void left(Ticket ticket) override;
 
--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -160,6 +160,10 @@
   // Those that never asked for anything go first, then those idle for the longest.
   std::pair<bool, Clock::time_point> worth() const { return {asked_, active_}; }
   void forget(std::uint16_t id) { tickets_.erase(id); }
+  // Best right after an answer: the client can't have sent what that answer leads to.
+  void close_if_idle() {
+    if (!closed_ && front_.duty_.close_idle && spare(Clock::now())) close();
+  }
 
  private:
   void read() {
@@ -217,13 +221,17 @@
     if (health) {
       ++front_.counters_.health;
       append_response(out, r.id,
-                      front_.calls_.ready() ? "Status: 200 OK\r\n\r\n" : "Status: 503 Not Ready\r\n\r\n", "");
+                      front_.duty_.ready ? "Status: 200 OK\r\n\r\n" : "Status: 503 Not Ready\r\n\r\n", "");
     } else if (r.too_large) {
       ++front_.counters_.invalid;
       append_response(out, r.id, "Status: 413 Too Large\r\n\r\n", "");
     } else if (!call_from(r, call)) {
       ++front_.counters_.invalid;
       append_response(out, r.id, "Status: 400 Bad Request\r\n\r\n", "");
+    } else if (front_.duty_.refuse) {
+      // This connection has to fall idle; other doormans serve the request at once.
+      ++front_.counters_.turned_away;
+      append_response(out, r.id, head_of({Answer::Kind::kRefused, 503, 0, {}}), "");
     } else if (front_.held_ > front_.limits_.held_bytes) {
       // Memory is bounded: past it nothing more is taken, and to refuse is harmless.
       ++front_.counters_.turned_away;
@@ -294,7 +302,8 @@
     });
   }
   void close_if_done() {
-    if (close_after_ && tickets_.empty() && unwritten_ == 0) close();
+    if (close_after_ && tickets_.empty() && unwritten_ == 0) return close();
+    close_if_idle();
   }
 
   Front& front_;
@@ -322,30 +331,37 @@
   if (!error) acceptor_.set_option(Tcp::acceptor::reuse_address(true), error);
   if (!error) acceptor_.bind(at, error);
   if (!error) acceptor_.listen(asio::socket_base::max_listen_connections, error);
-  if (error) return;
-  accepting_ = true;
-  accept();
 }
 
-Tcp::endpoint Front::at() const {
+void Front::listen(int descriptor, Error& error) { acceptor_.assign(Tcp::v4(), descriptor, error); }
+
+void Front::attend(const lifecycle::Duty& duty) {
+  const lifecycle::Duty before = std::exchange(duty_, duty);
+  if (duty.accept) accept();
   Error ignored;
-  return acceptor_.local_endpoint(ignored);
+  // What the kernel has handed over by then is still served: see accept().
+  if (!duty.accept && before.accept) acceptor_.cancel(ignored);
+  if (!duty.close_idle || before.close_idle) return;
+  const std::vector<std::shared_ptr<Connection>> all(connections_.begin(), connections_.end());
+  for (const auto& c : all) c->close_if_idle();
 }
 
 void Front::accept() {
-  if (!accepting_) return;
+  if (!duty_.accept || waiting_ || !acceptor_.is_open()) return;
   // As many connections as we want to hold: further ones wait in the kernel's queue until some are free.
   if (connections_.size() >= limits_.connections && !make_room()) return accept_later();
+  waiting_ = true;
   acceptor_.async_accept([this](Error error, Tcp::socket socket) {
-    if (!accepting_) return;
-    if (error) {  // out of descriptors, say: not to spin on it
+    waiting_ = false;
+    if (!error) {  // ours, also when no more are wanted by now
+      ++counters_.connections;
+      auto connection = std::make_shared<Connection>(*this, std::move(socket));
+      connections_.insert(connection);
+      connection->start();
+    } else if (error != asio::error::operation_aborted) {  // out of descriptors, say: not to spin on it
       make_room();
       return accept_later();
     }
-    ++counters_.connections;
-    auto connection = std::make_shared<Connection>(*this, std::move(socket));
-    connections_.insert(connection);
-    connection->start();
     accept();
   });
 }
@@ -367,8 +383,8 @@
   });
 }
 
-void Front::stop_accepting() {
-  accepting_ = false;
+void Front::close() {
+  duty_.accept = false;
   Error ignored;
   accept_again_.cancel();
   acceptor_.close(ignored);
--- a/src/net/front.hpp
+++ b/src/net/front.hpp
@@ -8,6 +8,7 @@
 #include <unordered_set>
 
 #include "fastcgi/fastcgi.hpp"
+#include "lifecycle/lifecycle.hpp"
 #include "net/asio.hpp"
 #include "net/call.hpp"
 #include "net/counters.hpp"
@@ -24,11 +25,17 @@
   Front(asio::io_context& io, Calls& calls, Counters& counters, Limits limits);
   ~Front();
 
+  // Nothing is accepted before `attend` says so.
   void listen(const Tcp::endpoint& at, Error& error);
-  Tcp::endpoint at() const;
+  // On a listening socket that others hold too: it is left as it is when we go.
+  void listen(int descriptor, Error& error);
   void limit(const Limits& limits) { limits_ = limits; }
-  void stop_accepting();
+  // From here on: who is taken, what is told of our readiness, which connections end.
+  void attend(const lifecycle::Duty& duty);
+  // For good; on a socket of our own those who still wait to be taken are turned away.
+  void close();
   bool idle() const;  // nothing is open and every answer is written
+  bool empty() const { return connections_.empty(); }
   void answer(Ticket ticket, const Answer& answer);
 
  private:
@@ -49,7 +56,8 @@
   Limits limits_;
   Tcp::acceptor acceptor_;
   asio::steady_timer accept_again_;
-  bool accepting_ = false;
+  lifecycle::Duty duty_;
+  bool waiting_ = false;  // for the next connection
   Ticket next_ticket_ = 1;
   std::size_t held_ = 0;
   std::unordered_map<Ticket, Open> open_;
--- /dev/null
+++ b/src/service/service.hpp
@@ -0,0 +1,69 @@
+// The doorman as a whole: wires its parts together and carries out what its life cycle says.
+#ifndef ANISEWICK_SERVICE_SERVICE_HPP_
+#define ANISEWICK_SERVICE_SERVICE_HPP_
+
+#include <chrono>
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "config/config.hpp"
+#include "door/door.hpp"
+#include "facade/facade.hpp"
+#include "holds/holds.hpp"
+#include "lifecycle/lifecycle.hpp"
+#include "net/asio.hpp"
+#include "net/counters.hpp"
+#include "net/doorman.hpp"
+#include "net/front.hpp"
+#include "net/reports.hpp"
+
+namespace anisewick::service {
+
+// What the environment says beside the configuration.
+struct Surroundings {
+  std::string config_path;               // RELAY_CONFIG
+  config::Endpoint listen;               // RELAY_LISTEN, else of the configuration
+  std::optional<int> descriptor;         // RELAY_FD: a listening socket that we share
+  std::optional<config::Endpoint> ops;   // RELAY_OPS, else of the configuration; none: no door
+  std::chrono::milliseconds report_gap{0};  // ANISEWICK_REPORT_MS; 0: no reports
+};
+
+// Owned by main, one thread.
+class Service {
+ public:
+  Service(const Surroundings& around, const config::Config& c);
+  // Until the end; the exit code.
+  int run();
+
+ private:
+  void heed(const bus::Event& event);
+  void wait_for_signal();
+  void reload();
+  void attend();
+  void end();
+  door::Verdict called(const door::Call& call);
+  door::Verdict hold(const door::Call& call);
+  void print_counters() const;
+
+  const Surroundings around_;
+  asio::io_context io_{1};
+  net::Counters counters_;
+  Facade facade_;
+  net::DepotPool depots_;
+  net::Doorman doorman_;
+  net::Front front_;
+  holds::Holds holds_;
+  lifecycle::Life life_;
+  net::BusClient bus_;
+  std::optional<net::Reports> reports_;
+  door::Door door_;
+  asio::signal_set signals_;
+  asio::steady_timer next_;
+};
+
+}  // namespace anisewick::service
+
+#endif  // ANISEWICK_SERVICE_SERVICE_HPP_
