Bring settings into force at SIGHUP by generation, and turn bad files down whole

To blame: reload() took the limits and the bus of any file that parsed, and never looked at the classes. Change: src/generations keeps a slot a name and shared terms a generation; a request carries its terms through the facade into the module, attempts included; the module takes new settings and keeps what it learned. A file needs deadlines and attempts above 0, distinct classes, and every key that the file in force has.

--- a/examples/embed.cpp
+++ b/examples/embed.cpp
@@ -6,9 +6,8 @@
 int main() {
   anisewick::Settings settings;
   settings.seed = 1;
-  settings.classes.emplace_back();
+  settings.classes.emplace_back().max_attempts = 3;
   settings.origin_kind = 1;
-  settings.max_attempts = 3;
   anisewick::Control control(settings);
 
   anisewick::Actions actions;
--- a/include/anisewick/control.hpp
+++ b/include/anisewick/control.hpp
@@ -34,6 +34,7 @@
   Time grace = 0;  // past fresh, a copy may still be served
   bool in_parts = false;
   bool never_kept = false;
+  int max_attempts = 1;  // of one request, the first included
 };
 
 struct Settings {
@@ -68,7 +69,6 @@
   Time purge_grace = 0;
   Time purge_settle = 0;
   Time ask_every = 0;
-  int max_attempts = 1;
   Time max_retry_after = 0;
   Time tick = 0;
 };
@@ -94,6 +94,8 @@
   int group = 0;
   bool write = false;
   Time give_up_at = 0;
+  // What it began with, whatever the settings say by now; none: the class's in the settings.
+  std::shared_ptr<const ClassSettings> terms = nullptr;
 };
 enum class Status { kOk, kError, kFull, kTimeout, kConnectFailed, kReset, kCancelled, kMoot, kMiss };
 enum class Note {
@@ -171,6 +173,9 @@
   Control& operator=(Control&&) noexcept;
 
   void members(Time now, ListKind kind, const std::vector<Member>& list, Actions& out);
+  // New settings: for what comes after. The places of the classes are the same, more may follow; what was
+  // learned stays. Requests that carry no terms of their own get the new ones.
+  void retune(const Settings& settings);
   void request(Time now, const Request& request, Actions& out);
   void started(Time now, std::uint64_t id, int attempt, Actions& out);  // a streamed answer has begun
   void outcome(Time now, const Outcome& outcome, Actions& out);
--- a/src/benchlink/benchlink.cpp
+++ b/src/benchlink/benchlink.cpp
@@ -190,7 +190,7 @@
   s.purge_grace = line.get<Time>(info + "purge_grace", 0);
   s.purge_settle = line.get<Time>(info + "purge_settles", 0);
   s.ask_every = line.get<Time>("rules.ask_every", 0);
-  s.max_attempts = line.get<int>("limits.max_attempts", 1);
+  for (ClassSettings& c : s.classes) c.max_attempts = line.get<int>("limits.max_attempts", 1);
   s.max_retry_after = line.get<Time>("limits.max_retry_after", 0);
   s.tick = line.get<Time>("tick", 0);
   return s;
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <iterator>
 #include <optional>
 #include <utility>
 
@@ -15,6 +16,9 @@
 
 using simdjson::dom::element;
 
+constexpr int kMostAttempts = 8;  // a rule of the platform, whatever a file says
+constexpr std::size_t kMostClasses = 256;
+
 template <typename T>
 bool number(std::string_view text, T& value, int base = 10) {
   const auto r = std::from_chars(text.data(), text.data() + text.size(), value, base);
@@ -97,7 +101,8 @@
   anisewick::ClassSettings c;
   c.aim = get<std::int64_t>(e, "aim", 0);
   c.aim_stretch = get<double>(e, "aim_stretch", 0.0);
-  c.deadline = get<std::int64_t>(e, "deadline", 0);
+  c.deadline = need<std::int64_t>(e, "deadline");
+  if (c.deadline <= 0) throw Bad("'deadline' is not above 0");
   c.worth = get<double>(e, "credit", 1.0);
   c.late_worth = get<double>(e, "late_worth", 0.0);
   need(e, "repeat");  // to guess it could run a single-shot request twice
@@ -113,9 +118,14 @@
   s.fronts = get<int>(e, "n_instances", 1);
   s.zone = need<int>(e, "my_zone");
   for (const element c : array_of(need(e, "categories"), "categories")) {
-    classes.push_back(need<std::string>(c, "name"));
+    auto name = need<std::string>(c, "name");
+    if (std::find(classes.begin(), classes.end(), name) != classes.end()) {
+      throw Bad("'categories' has the class '" + name + "' twice");
+    }
+    classes.push_back(std::move(name));
     s.classes.push_back(class_from(c));
   }
+  if (classes.empty() || classes.size() > kMostClasses) throw Bad("'categories' has none or too many classes");
   const element family = need(e, "family_info");
   const auto fresh = list<std::int64_t>(family, "class_fresh");
   const auto grace = list<std::int64_t>(family, "grace_for");
@@ -161,7 +171,9 @@
   s.drain_grace = get<std::int64_t>(rules, "drain_grace", 0);
   const element limits = need(e, "limits");
   s.cancel = get<bool>(limits, "cancel", false);
-  s.max_attempts = get<int>(limits, "max_attempts", 1);
+  const int attempts = need<int>(limits, "max_attempts");
+  if (attempts <= 0) throw Bad("'max_attempts' is not above 0");
+  for (ClassSettings& c : s.classes) c.max_attempts = std::min(attempts, kMostAttempts);
   s.max_retry_after = get<std::int64_t>(limits, "max_retry_after", 0);
   s.tick = get<std::int64_t>(e, "tick", 0);
   // Never: straight to a parent or the origin, second copies. On sockets only caches of the own centre are
@@ -211,6 +223,32 @@
   return event;
 }
 
+// The paths of all keys in the objects of a file; of a list of objects, those that all of them have.
+void keys_of(element e, const std::string& path, std::vector<std::string>& out) {
+  simdjson::dom::object object;
+  simdjson::dom::array list;
+  if (e.get(object) == simdjson::SUCCESS) {
+    for (const auto field : object) {
+      if (field.value.is_null() || (path.empty() && field.key == "known")) continue;
+      const std::string at = (path.empty() ? "" : path + ".") + std::string(field.key);
+      out.push_back(at);
+      keys_of(field.value, at, out);
+    }
+  } else if (e.get(list) == simdjson::SUCCESS) {
+    std::vector<std::string> common, of_one, both;
+    bool first = true;
+    for (const element one : list) {
+      of_one.clear();
+      keys_of(one, path + "[]", of_one);
+      std::sort(of_one.begin(), of_one.end());
+      both.clear();
+      std::set_intersection(common.begin(), common.end(), of_one.begin(), of_one.end(), std::back_inserter(both));
+      common = std::exchange(first, false) ? of_one : both;
+    }
+    out.insert(out.end(), common.begin(), common.end());
+  }
+}
+
 }  // namespace
 
 Endpoint endpoint_from(std::string_view text) {
@@ -261,9 +299,17 @@
         c.known.push_back(event_from(event, zones, kinds));
     }
   }
+  keys_of(e, "", c.keys);
+  std::sort(c.keys.begin(), c.keys.end());
   return c;
 }
 
+void need_keys_of(const Config& in_force, const Config& fresh) {
+  for (const std::string& key : in_force.keys) {
+    if (!std::binary_search(fresh.keys.begin(), fresh.keys.end(), key)) throw Bad("'" + key + "' is missing");
+  }
+}
+
 Config load(const std::string& path) {
   simdjson::padded_string text;
   if (simdjson::padded_string::load(path).get(text) != simdjson::SUCCESS) {
--- a/src/control.cpp
+++ b/src/control.cpp
@@ -7,10 +7,11 @@
 
 #include <algorithm>
 #include <cmath>
-#include <deque>
 #include <set>
 #include <utility>
 
+#include "measures/window.hpp"
+
 namespace anisewick {
 namespace {
 
@@ -176,13 +177,8 @@
   Time next_round_ = 0, next_halving_ = 0;
 };
 
-struct Smoothed {
-  double value = 0.0;
-  bool known = false;
-  void add(double x) {
-    value = known ? value + kSmooth * (x - value) : x;
-    known = true;
-  }
+struct Smoothed : measures::Smoothed {
+  Smoothed() : measures::Smoothed(kSmooth) {}
 };
 
 // How well a server does in one role: as the cache asked, or as the source of fills.
@@ -216,38 +212,17 @@
   Health asked, sourced;
   Crowd crowd;
   Smoothed first_byte;
-  std::deque<std::pair<Time, double>> sent;  // work sent within the fall window, in seconds of sending
-  double in_window = 0.0;
+  measures::Window sent;  // work sent within the fall window, in seconds of sending
   Time answered = 0;  // when it last gave any answer, good or bad
   double open = 0.0;  // work that this front has out there
   double rate = 0.0;  // work served a second, smoothed over kRateMemory
   Time rated = 0;
 
   bool up() const { return listed && m.state == State::kUp; }
-  void forget(Time before) {
-    while (!sent.empty() && sent.front().first < before) {
-      in_window -= sent.front().second;
-      sent.pop_front();
-    }
-    if (sent.empty()) in_window = 0.0;
-  }
-  void charge(Time now, Time window, double work) {
-    forget(now - window);
-    sent.emplace_back(now, work);
-    in_window += work;
-  }
   void served(Time now, double work) {  // asked-for work would overstate what a crowded server can do
     decay(now);
     rate += work / kRateMemory;
   }
-  void refund(Time at, double work) {
-    for (auto& [when, w] : sent) {
-      if (when != at || w != work) continue;
-      in_window -= w;
-      w = 0.0;
-      return;
-    }
-  }
   void decay(Time now) {
     rate *= std::exp(-static_cast<double>(now - rated) / (kRateMemory * kSecond));
     rated = now;
@@ -354,20 +329,23 @@
   double retries = kRetryStore;  // further attempts in hand: a crowd must not be answered with more load
   std::vector<std::pair<double, double>> class_work;  // per class: sum of sending times, requests
 
-  explicit Impl(const Settings& settings) : s(settings), random(settings.seed) {
+  explicit Impl(const Settings& settings) : random(settings.seed) { retune(settings); }
+
+  // What was learned stays, and so do the terms of requests that carry theirs.
+  void retune(const Settings& settings) {
+    s = settings;
     if (s.classes.empty()) s.classes.emplace_back();
-    class_work.resize(s.classes.size());
+    class_work.resize(std::max(class_work.size(), s.classes.size()));
   }
-
-  const ClassSettings& cls(const Request& r) const {
-    const bool known = r.cls >= 0 && r.cls < static_cast<int>(s.classes.size());
-    return s.classes[known ? static_cast<std::size_t>(r.cls) : 0];
+  std::size_t place(const Request& r) const {
+    return r.cls >= 0 && r.cls < static_cast<int>(s.classes.size()) ? static_cast<std::size_t>(r.cls) : 0;
   }
+  const ClassSettings& cls(const Request& r) const { return r.terms ? *r.terms : s.classes[place(r)]; }
   double work_of(const Request& r) const {  // seconds that it takes to send to a client
     return s.client_kb_per_s > 0.0 ? r.size_kb / s.client_kb_per_s : 0.0;
   }
   double mean_work(const Request& r) const {
-    const auto& [sum, n] = class_work[static_cast<std::size_t>(&cls(r) - s.classes.data())];
+    const auto& [sum, n] = class_work[place(r)];
     return n > 0.0 ? sum / n : work_of(r);
   }
   double draw() { return static_cast<double>((random = mix(random)) >> 11) * 0x1.0p-53; }
@@ -482,7 +460,7 @@
   }
   bool fits(Server& server, Time now, double work) {
     const double share = cold_share(server, std::max(server.m.started_at, now - s.fall_window));
-    server.forget(now - s.fall_window);
+    server.sent.forget(now - s.fall_window);
     if (share >= 1.0 || s.fall_window <= 0) return true;
     const bool parent = server.role == Role::kParent;
     const double multiple = parent ? s.parent_fall_multiple : s.fall_multiple;
@@ -493,7 +471,7 @@
     const double window = static_cast<double>(s.fall_window) / kSecond;
     const double budget = kColdMargin * multiple * share * part * window;
     const double mean = mean_work();
-    if (!parent || budget >= mean || mean <= 0.0) return server.in_window + work <= budget;
+    if (!parent || budget >= mean || mean <= 0.0) return server.sent.sum() + work <= budget;
     // A part under one request would round up to a request each, or shut the parent out. So the fronts take
     // turns, by a shift that all draw alike: in each slot as many as half the budget of all has mean requests
     // for (a window sees two slots) have it to share, and what one does not use in its turn is lost.
@@ -502,7 +480,7 @@
     const std::uint64_t shift = mix(static_cast<std::uint64_t>(now / s.fall_window) ^ server.hash);
     const auto count = static_cast<std::uint64_t>(fronts);
     const std::uint64_t place = (shift % count + static_cast<std::uint64_t>(std::max(0, s.index))) % count;
-    return static_cast<double>(place) < many && server.in_window + work <= all / many;
+    return static_cast<double>(place) < many && server.sent.sum() + work <= all / many;
   }
 
   // ---- Health: ejects the failing and the slow, at most half of a group, and lets a trickle through.
@@ -669,7 +647,7 @@
     const bool kept = !c.never_kept && !h.r.write;
     const Time last = h.r.give_up_at - 2 * s.tick - kMs;  // an outcome by then can still be answered in time
     const Time sending = static_cast<Time>(work_of(h.r) * kSecond);  // nothing is sent to a client faster
-    if (now + sending >= last || static_cast<int>(h.tries.size()) >= s.max_attempts)
+    if (now + sending >= last || static_cast<int>(h.tries.size()) >= c.max_attempts)
       return finish(h, out, Why::kNoTime);
     // A connection's end is no sign of a crowd: what follows it is not held back.
     const bool free = h.tries.empty() || h.tries.back().status == Status::kReset || h.tries.back().lacked();
@@ -712,17 +690,17 @@
     a.max_age = kept ? max_age(now, h) : 0;
     a.join = s.joins && kept;
     const Time half = now + (last - now) / 2;
-    const bool more = static_cast<int>(h.tries.size()) + 1 < s.max_attempts;
+    const bool more = static_cast<int>(h.tries.size()) + 1 < c.max_attempts;
     const Time fair_end = now + static_cast<Time>(aim_of(h.r));
     a.until = more ? std::min(last, std::max({half, wanted_by(h), fair_end})) : last;
     t.server = server;
     t.source = source;
     t.at = now;
     const double mean = mean_work(h.r);
-    server->charge(now, s.fall_window, server->role == Role::kParent ? std::max(work_of(h.r), mean) : mean);
+    server->sent.add(now, s.fall_window, server->role == Role::kParent ? std::max(work_of(h.r), mean) : mean);
     if (source != server && source->role != Role::kOrigin) {
       t.charged_source = std::max(work_of(h.r), mean);
-      source->charge(now, s.fall_window, t.charged_source);
+      source->sent.add(now, s.fall_window, t.charged_source);
     }
     if (!free) retries -= 1.0;
     server->open += t.work;
@@ -817,7 +795,7 @@
     const bool ok = o.status == Status::kOk;
     const bool no_fill = o.note == Note::kHit || o.note == Note::kStale;
     if ((ok && no_fill) || o.status == Status::kConnectFailed || o.status == Status::kMoot) {
-      if (t.charged_source > 0.0) t.source->refund(t.at, t.charged_source);  // it was never asked
+      if (t.charged_source > 0.0) t.source->sent.take_back(t.at, t.charged_source);  // it was never asked
       t.charged_source = 0.0;
     }
     if (o.status == Status::kCancelled || o.status == Status::kMoot || o.status == Status::kMiss) return;
@@ -876,6 +854,8 @@
   if (kind == ListKind::kFailed) out.push_back(Alarm{kAskAgain, 0});
 }
 
+void Control::retune(const Settings& settings) { impl_->retune(settings); }
+
 void Control::request(Time now, const Request& request, Actions& out) {
   Impl& i = *impl_;
   i.drop(request.id);  // ids are never repeated; if one is, the older is over
@@ -883,7 +863,7 @@
   Held& h = i.held[request.id];
   h.r = request;
   h.arrived = now;
-  auto& [sum, n] = i.class_work[static_cast<std::size_t>(&i.cls(request) - i.s.classes.data())];
+  auto& [sum, n] = i.class_work[i.place(request)];
   sum += i.work_of(request);
   n += 1.0;
   i.retries = std::min(kRetryStore, i.retries + kRetryShare);
--- a/src/facade/facade.cpp
+++ b/src/facade/facade.cpp
@@ -104,6 +104,8 @@
 Facade::Facade(const Settings& settings) : impl_(std::make_unique<Impl>(settings)) {}
 Facade::~Facade() = default;
 
+void Facade::retune(const Settings& settings) { impl_->control.retune(settings); }
+
 Step Facade::pick(Time now, const Ask& ask) {
   impl_->open[ask.id] = {};
   Request r;
@@ -112,6 +114,7 @@
   r.part = ask.part;
   r.size_kb = ask.size_kb;
   r.cls = ask.cls;
+  r.terms = ask.terms;
   r.group = ask.group;
   r.give_up_at = ask.give_up_at;
   impl_->control.request(now, r, impl_->actions);
--- a/src/facade/facade.hpp
+++ b/src/facade/facade.hpp
@@ -16,6 +16,7 @@
 
 namespace anisewick {
 
+struct ClassSettings;
 struct Settings;
 
 struct Ask {
@@ -24,6 +25,7 @@
   int part = 0;
   double size_kb = 0.0;
   int cls = 0;
+  std::shared_ptr<const ClassSettings> terms;  // that it keeps to its end; none: those of its class
   int group = 0;
   Time give_up_at = 0;
 };
@@ -50,6 +52,8 @@
   explicit Facade(const Settings& settings);
   ~Facade();
 
+  // New settings, from the next request on; what was learned stays.
+  void retune(const Settings& settings);
   Step pick(Time now, const Ask& ask);
   Step report(Time now, std::uint64_t id, const Report& report);
   // What has come up by itself, of any requests.
--- a/src/net/doorman.cpp
+++ b/src/net/doorman.cpp
@@ -43,12 +43,12 @@
 }  // namespace
 
 Doorman::Doorman(asio::io_context& io, Facade& facade, DepotPool& depots, Counters& counters,
-                 std::vector<Class> classes)
+                 const generations::Classes& classes)
     : io_(io),
       facade_(facade),
       depots_(depots),
       counters_(counters),
-      classes_(std::move(classes)),
+      classes_(classes),
       ticking_(io) {}
 
 void Doorman::heed(const bus::Event& event) {
@@ -65,11 +65,10 @@
 }
 
 void Doorman::taken(Ticket ticket, Call&& call) {
-  const auto cls =
-      std::find_if(classes_.begin(), classes_.end(), [&](const Class& c) { return c.name == call.profile; });
-  if (cls == classes_.end()) return turn_away(ticket, 404);
+  const generations::Class* cls = classes_.find(call.profile);
+  if (cls == nullptr) return turn_away(ticket, 404);
   // No client waits for longer than its class allows, give or take: such a figure is made up.
-  if (cls->deadline > 0 && call.patience / 2 > cls->deadline) return turn_away(ticket, 400);
+  if (call.patience / 2 > cls->terms->deadline) return turn_away(ticket, 400);
   // By its id a depot tells a request from another: two at once would get each other's answers.
   if (!ids_.insert(call.id).second) return turn_away(ticket, 409);
   Ask ask;
@@ -77,7 +76,8 @@
   ask.object = call.object;
   ask.part = call.part;
   ask.size_kb = call.size_kb;
-  ask.cls = static_cast<int>(cls - classes_.begin());
+  ask.cls = cls->slot;
+  ask.terms = cls->terms;
   ask.group = call.group;
   ask.give_up_at = call.taken + call.patience;
   open_.emplace(ticket, std::make_unique<Open>(io_, std::move(call)));
--- a/src/net/doorman.hpp
+++ b/src/net/doorman.hpp
@@ -11,6 +11,7 @@
 
 #include "bus/bus.hpp"
 #include "facade/facade.hpp"
+#include "generations/generations.hpp"
 #include "net/asio.hpp"
 #include "net/call.hpp"
 #include "net/counters.hpp"
@@ -20,12 +21,9 @@
 class Doorman final : public Calls {
  public:
   using Reply = std::function<void(Ticket, const Answer&)>;
-  struct Class {
-    std::string name;
-    std::int64_t deadline = 0;  // nanoseconds; 0: not told
-  };
+  // `classes` outlives it and may change between calls.
   Doorman(asio::io_context& io, Facade& facade, DepotPool& depots, Counters& counters,
-          std::vector<Class> classes);
+          const generations::Classes& classes);
 
   void answers_by(Reply reply) { reply_ = std::move(reply); }
   void heed(const bus::Event& event);
@@ -59,7 +57,7 @@
   Facade& facade_;
   DepotPool& depots_;
   Counters& counters_;
-  std::vector<Class> classes_;
+  const generations::Classes& classes_;
   Reply reply_;
   bool listed_ = false;
   asio::steady_timer ticking_;
--- a/src/service/service.cpp
+++ b/src/service/service.cpp
@@ -14,21 +14,15 @@
 constexpr std::size_t kShared = 2;
 constexpr auto kLookAgain = std::chrono::milliseconds(10);
 constexpr std::int64_t kMs = 1'000'000;
+constexpr lifecycle::Time kMostDeadline = 3'600'000 * kMs;  // more is no figure to wait by
 
 lifecycle::Time now() { return std::chrono::steady_clock::now().time_since_epoch() / std::chrono::nanoseconds(1); }
 std::int64_t unix_ms() { return net::unix_now() / kMs; }
 
-std::vector<net::Doorman::Class> classes_of(const config::Config& c) {
-  std::vector<net::Doorman::Class> classes;
-  for (std::size_t i = 0; i < c.classes.size(); ++i) {
-    classes.push_back({c.classes[i], c.settings.classes[i].deadline});
-  }
-  return classes;
-}
-lifecycle::Time longest_deadline(const config::Config& c) {
+lifecycle::Time longest_deadline(const Settings& settings) {
   lifecycle::Time longest = 0;
-  for (const ClassSettings& s : c.settings.classes) longest = std::max(longest, s.deadline);
-  return longest;
+  for (const ClassSettings& s : settings.classes) longest = std::max(longest, s.deadline);
+  return std::min(longest, kMostDeadline);
 }
 // A quarter of the descriptors, and less memory than the requests themselves may take.
 std::size_t link_limit(const config::Config& c) {
@@ -51,11 +45,12 @@
 
 Service::Service(const Surroundings& around, const config::Config& c)
     : around_(around),
+      config_(c),
       facade_(c.settings),
       depots_(io_, counters_,
               {std::chrono::nanoseconds(c.connect_timeout), std::chrono::nanoseconds(c.connection_idle),
                c.streams, link_limit(c), share_of(c)}),
-      doorman_(io_, facade_, depots_, counters_, classes_of(c)),
+      doorman_(io_, facade_, depots_, counters_, classes_),
       front_(io_, doorman_, counters_, front_limits(c)),
       life_(now(), around.descriptor.has_value()),
       bus_(io_, counters_, net::endpoint_of(c.bus.address, c.bus.port), c.known_number,
@@ -66,7 +61,8 @@
   signals_.add(SIGHUP);
   doorman_.answers_by([this](net::Ticket ticket, const net::Answer& a) { front_.answer(ticket, a); });
   if (around_.report_gap.count() > 0) reports_.emplace(io_, counters_, around_.report_gap, std::cerr);
-  life_.longest_deadline(longest_deadline(c));
+  life_.longest_deadline(longest_deadline(c.settings));
+  classes_.adopt(c.classes, c.settings.classes);
   // Before the first request: a purge or a drain known now must not be found out later.
   for (const bus::Event& event : c.known) heed(event);
   life_.handed_over();
@@ -88,6 +84,7 @@
   doorman_.start();
   if (reports_) reports_->start();
   wait_for_signal();
+  running_ = true;
   attend();
   io_.run();
   print_counters();
@@ -96,7 +93,9 @@
 
 void Service::heed(const bus::Event& event) {
   doorman_.heed(holds_.over(event));
-  if (doorman_.listed()) life_.listed();
+  if (!doorman_.listed() || std::exchange(listed_, true)) return;
+  life_.listed();
+  if (running_) attend();
 }
 
 void Service::wait_for_signal() {
@@ -114,19 +113,36 @@
   });
 }
 
-// The event bus may have moved, the limits may have changed. What the decisions rest on stays as it was at
-// the start: they know what is open and what was learned. A bad file leaves all of it in force.
+// A file that cannot be used changes nothing: all of it is read and checked before any of it counts.
 void Service::reload() {
   try {
-    const config::Config c = config::load(around_.config_path);
-    front_.limit(front_limits(c));
-    bus_.move(net::endpoint_of(c.bus.address, c.bus.port), c.known);
-    ++counters_.reloads;
+    config::Config c = config::load(around_.config_path);
+    config::need_keys_of(config_, c);
+    adopt(std::move(c));
   } catch (const std::exception& e) {
     std::cerr << "anisewick: the old configuration stays in force: " << e.what() << std::endl;
   }
 }
 
+// The event bus may have moved, limits and classes may have changed. Requests that are open keep the terms of
+// their class; what was learned stays, and so does the seed, by which the fronts of a location tell apart who
+// keeps what.
+void Service::adopt(config::Config&& c) {
+  c.settings.seed = config_.settings.seed;
+  config_ = std::move(c);
+  classes_.adopt(config_.classes, config_.settings.classes);
+  Settings settings = config_.settings;
+  settings.classes = classes_.by_slot();
+  facade_.retune(settings);
+  life_.longest_deadline(longest_deadline(settings));
+  front_.limit(front_limits(config_));
+  bus_.move(net::endpoint_of(config_.bus.address, config_.bus.port), config_.known);
+  config_.known.clear();
+  ++counters_.reloads;
+  std::cerr << "anisewick: configuration " << classes_.generation() << " is in force, with "
+            << config_.classes.size() << " classes" << std::endl;
+}
+
 // Carries out what the life cycle says now, and looks again when it says otherwise.
 void Service::attend() {
   const lifecycle::Duty duty = life_.duty(now());
--- a/src/service/service.hpp
+++ b/src/service/service.hpp
@@ -12,6 +12,7 @@
 #include "config/config.hpp"
 #include "door/door.hpp"
 #include "facade/facade.hpp"
+#include "generations/generations.hpp"
 #include "holds/holds.hpp"
 #include "lifecycle/lifecycle.hpp"
 #include "net/asio.hpp"
@@ -42,6 +43,7 @@
   void heed(const bus::Event& event);
   void wait_for_signal();
   void reload();
+  void adopt(config::Config&& c);
   void attend();
   void end();
   door::Verdict called(const door::Call& call);
@@ -50,7 +52,9 @@
 
   const Surroundings around_;
   asio::io_context io_{1};
+  config::Config config_;  // in force
   net::Counters counters_;
+  generations::Classes classes_;
   Facade facade_;
   net::DepotPool depots_;
   net::Doorman doorman_;
@@ -62,6 +66,7 @@
   door::Door door_;
   asio::signal_set signals_;
   asio::steady_timer next_;
+  bool running_ = false, listed_ = false;
 };
 
 }  // namespace anisewick::service
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -290,14 +290,14 @@
         "site":"east","class":"parent","block":2,"health":"Terminating","share":4,"born_ms":5}]}},
       {"offset":42,"ban":{"url":"7f3a9c21e0b4d655","ts":11}},{"offset":43,"ban":{"tag":17,"ts":12}}]},
     "settings":{"my_zone":1,"zones":["hub","east"],"machine_types":["box","parent"],"weight_source":"nominal",
-      "categories":[{"name":"book-slot","aim":600000000,"credit":3.0,"repeat":"single_shot"},
-                    {"name":"slot-page","aim":4e8,"repeat":"free"}],
+      "categories":[{"name":"book-slot","aim":600000000,"credit":3.0,"deadline":3e9,"repeat":"single_shot"},
+                    {"name":"slot-page","aim":4e8,"deadline":2500000000,"repeat":"free"}],
       "family_info":{"class_fresh":[0,8000000000],"never_kept":[true,false],"mid_kind":1},
       "rules":{"cold_from":0.2},"limits":{"max_attempts":8,"max_streams":100,"connect_timeout":400000000}}})";
   const auto c = config::parse(good);
   CHECK((c.listen.address == 0x7f000004 && c.listen.port == 7001 && c.bus.port == 7070));
   CHECK((c.memory_mb == 192 && c.sockets == 1024 && c.streams == 100 && c.connect_timeout == 400'000'000));
-  CHECK((c.settings.seed == 0x8c1f30d27a5be964 && c.settings.zone == 1 && c.settings.max_attempts == 8));
+  CHECK((c.settings.seed == 0x8c1f30d27a5be964 && c.settings.zone == 1 && c.settings.classes[1].max_attempts == 8));
   CHECK(c.classes == std::vector<std::string>{"book-slot", "slot-page"});
   CHECK((c.settings.classes[0].repeat == Repeat::kUnsafe && c.settings.classes[0].never_kept));
   CHECK((c.settings.classes[1].aim == 400'000'000 && c.settings.classes[1].fresh == 8'000'000'000));
@@ -322,6 +322,21 @@
       {"s-00c41f7a", "c41f7a"},
       {"\"family_info\":{", "\"family\":{"},
       {"\"name\":\"n3\"", "\"name\":"},
+      {"\"deadline\":3e9", "\"deadline\":0"},
+      {"\"deadline\":3e9", "\"deadline\":-5"},
+      {"\"deadline\":3e9", "\"deadline\":0.4"},
+      {"\"deadline\":3e9", "\"deadline\":\"3000\""},
+      {"\"deadline\":3e9", "\"deadline\":null"},
+      {"\"deadline\":3e9", "\"deadline\":true"},
+      {"\"deadline\":3e9", "\"deadline\":1e999"},
+      {"\"deadline\":3e9,", ""},
+      {"\"max_attempts\":8", "\"max_attempts\":0"},
+      {"\"max_attempts\":8", "\"max_attempts\":-1"},
+      {"\"max_attempts\":8", "\"max_attempts\":\"8\""},
+      {"\"max_attempts\":8", "\"max_attempts\":[8]"},
+      {"\"max_attempts\":8,", ""},
+      {"\"name\":\"slot-page\"", "\"name\":\"book-slot\""},
+      {"\"name\":\"slot-page\",", ""},
   };
   for (const auto& [from, to] : spoiled) {
     std::string bad = good;
@@ -329,6 +344,32 @@
     INFO(from << " as " << to);
     CHECK_THROWS_AS(config::parse(bad), config::Bad);
   }
+  // Cut short anywhere it is no file at all.
+  for (std::size_t n = 0; n < good.size(); n += 13) CHECK_THROWS_AS(config::parse(good.substr(0, n)), config::Bad);
+
+  // A key that the file in force has may not be missing, wherever it stands; what `known` holds may change.
+  const std::vector<std::tuple<std::string, std::string, bool>> changed{
+      {"\"credit\":3.0,", "", true},  // not all classes had it
+      {"\"aim\":4e8,", "", false},
+      {"\"mid_kind\":1", "\"x\":1", false},
+      {",\"max_streams\":100", "", false},
+      {"\"cold_from\":0.2", "", false},
+      {"\"name\":\"n3\",", "", false},
+      {"\"cores\":1.0,", "", false},
+      {"\"cores\":1.0,", "\"cores\":0.5,\"more\":1,", true},
+      {"\"ban\":{\"tag\":17,\"ts\":12}", "\"ban\":{\"tag\":18,\"ts\":13}", true},
+      {"{\"name\":\"slot-page\"", "{\"name\":\"more\",\"aim\":1,\"deadline\":5,\"repeat\":\"free\"},{\"name\":\"slot-page\"", true},
+  };
+  for (const auto& [from, to, fine] : changed) {
+    std::string text = good;
+    text.replace(text.find(from), from.size(), to);
+    INFO(from << " as " << to);
+    if (fine) {
+      CHECK_NOTHROW(config::need_keys_of(c, config::parse(text)));
+    } else {
+      CHECK_THROWS_AS(config::need_keys_of(c, config::parse(text)), config::Bad);
+    }
+  }
   CHECK_THROWS_AS(config::load("/nowhere/config.json"), config::Bad);
 
   const auto example = config::load(ANISEWICK_EXAMPLE);
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -36,7 +36,7 @@
   s.parent_ramp = 10 * kSec;
   s.parent_fall_multiple = 2.0;
   s.purge_settle = 6 * kSec;
-  s.max_attempts = 4;
+  for (ClassSettings& c : s.classes) c.max_attempts = 4;
   s.tick = 2 * kMs;
   return s;
 }
--- a/tests/daily_test.cpp
+++ b/tests/daily_test.cpp
@@ -9,16 +9,17 @@
 #include <tuple>
 
 #include "door/calls.hpp"
+#include "generations/generations.hpp"
 #include "holds/holds.hpp"
 #include "lifecycle/lifecycle.hpp"
 
 using namespace anisewick;
-using bus::State;
+using BusState = bus::State;
 using Kind = bus::Event::Kind;
 
 namespace {
 
-bus::Depot depot_of(std::uint32_t id, State state, std::int64_t started = 0, int port = 1) {
+bus::Depot depot_of(std::uint32_t id, BusState state, std::int64_t started = 0, int port = 1) {
   bus::Depot d;
   d.id = id;
   d.state = state;
@@ -38,37 +39,37 @@
 TEST_CASE("a held depot is shown as draining whatever the bus says, and comes back cold") {
   holds::Holds h;
   CHECK_FALSE(h.detach(1, 5).has_value());  // nobody has it
-  CHECK(h.over(list(Kind::kWholeList, {depot_of(1, State::kReady), depot_of(2, State::kReady)})).depots[0].state ==
-        State::kReady);
+  CHECK(h.over(list(Kind::kWholeList, {depot_of(1, BusState::kReady), depot_of(2, BusState::kReady)})).depots[0].state ==
+        BusState::kReady);
   auto change = h.detach(1, 100);
   REQUIRE((change && change->kind == Kind::kChanges && change->depots.size() == 1));
-  CHECK(change->depots[0].state == State::kDraining);
+  CHECK(change->depots[0].state == BusState::kDraining);
   CHECK(h.detach(1, 101)->kind == Kind::kNothing);  // out is out
 
   const std::vector<std::pair<Kind, bus::Depot>> news{
-      {Kind::kChanges, depot_of(1, State::kReady)},          // a repeated event
-      {Kind::kWholeList, depot_of(1, State::kReady)},        // the whole list anew
-      {Kind::kChanges, depot_of(1, State::kReady, 150)},     // a new process
-      {Kind::kChanges, depot_of(1, State::kReady, 150, 9)},  // elsewhere
+      {Kind::kChanges, depot_of(1, BusState::kReady)},          // a repeated event
+      {Kind::kWholeList, depot_of(1, BusState::kReady)},        // the whole list anew
+      {Kind::kChanges, depot_of(1, BusState::kReady, 150)},     // a new process
+      {Kind::kChanges, depot_of(1, BusState::kReady, 150, 9)},  // elsewhere
   };
-  for (const auto& [kind, told] : news) CHECK(h.over(list(kind, {told})).depots[0].state == State::kDraining);
-  CHECK(h.over(list(Kind::kChanges, {depot_of(1, State::kGone)})).depots[0].state == State::kGone);
-  CHECK(h.over(list(Kind::kChanges, {depot_of(1, State::kReady, 150)})).depots[0].state == State::kDraining);
+  for (const auto& [kind, told] : news) CHECK(h.over(list(kind, {told})).depots[0].state == BusState::kDraining);
+  CHECK(h.over(list(Kind::kChanges, {depot_of(1, BusState::kGone)})).depots[0].state == BusState::kGone);
+  CHECK(h.over(list(Kind::kChanges, {depot_of(1, BusState::kReady, 150)})).depots[0].state == BusState::kDraining);
 
   change = h.attach(1, 200);  // twice out, once back
   REQUIRE((change && change->depots.size() == 1));
-  CHECK((change->depots[0].state == State::kReady && change->depots[0].started_ms == 200));
+  CHECK((change->depots[0].state == BusState::kReady && change->depots[0].started_ms == 200));
   CHECK(h.attach(1, 201)->kind == Kind::kNothing);
-  CHECK(h.over(list(Kind::kChanges, {depot_of(1, State::kReady, 150)})).depots[0].started_ms == 200);
-  CHECK(h.over(list(Kind::kChanges, {depot_of(1, State::kReady, 300)})).depots[0].started_ms == 300);
+  CHECK(h.over(list(Kind::kChanges, {depot_of(1, BusState::kReady, 150)})).depots[0].started_ms == 200);
+  CHECK(h.over(list(Kind::kChanges, {depot_of(1, BusState::kReady, 300)})).depots[0].started_ms == 300);
   CHECK(h.attach(2, 201)->kind == Kind::kNothing);  // was never out: nothing of it is forgotten
-  CHECK(h.over(list(Kind::kChanges, {depot_of(2, State::kReady)})).depots[0].started_ms == 0);
+  CHECK(h.over(list(Kind::kChanges, {depot_of(2, BusState::kReady)})).depots[0].started_ms == 0);
 }
 
 TEST_CASE("an attach does not bring back what the bus drains, and a gone depot can be let go") {
-  for (const State state : {State::kDraining, State::kGone}) {
+  for (const BusState state : {BusState::kDraining, BusState::kGone}) {
     holds::Holds h;
-    h.over(list(Kind::kWholeList, {depot_of(1, State::kReady)}));
+    h.over(list(Kind::kWholeList, {depot_of(1, BusState::kReady)}));
     h.detach(1, 100);
     h.over(list(Kind::kChanges, {depot_of(1, state)}));
     const auto change = h.attach(1, 200);
@@ -76,18 +77,18 @@
     CHECK(change->depots[0].state == state);
   }
   holds::Holds h;  // a whole list that no longer names it
-  h.over(list(Kind::kWholeList, {depot_of(1, State::kReady)}));
+  h.over(list(Kind::kWholeList, {depot_of(1, BusState::kReady)}));
   h.detach(1, 100);
-  h.over(list(Kind::kWholeList, {depot_of(2, State::kReady)}));
-  CHECK(h.attach(1, 200)->depots[0].state == State::kGone);
+  h.over(list(Kind::kWholeList, {depot_of(2, BusState::kReady)}));
+  CHECK(h.attach(1, 200)->depots[0].state == BusState::kGone);
 }
 
 TEST_CASE("a clock set back does not make the later call the older one") {
   holds::Holds h;
-  h.over(list(Kind::kWholeList, {depot_of(1, State::kReady)}));
+  h.over(list(Kind::kWholeList, {depot_of(1, BusState::kReady)}));
   h.detach(1, 1000);
-  CHECK(h.attach(1, 10)->depots[0].state == State::kReady);
-  CHECK(h.detach(1, 11)->depots[0].state == State::kDraining);
+  CHECK(h.attach(1, 10)->depots[0].state == BusState::kReady);
+  CHECK(h.detach(1, 11)->depots[0].state == BusState::kDraining);
 }
 
 // Two processes of one doorman hear calls and lists in any order and tell one another their marks. The model:
@@ -104,7 +105,7 @@
     std::int64_t now = 1000;
     const auto show = [&](int p, const bus::Event& e) {
       if (e.kind == Kind::kWholeList)
-        for (auto& [id, d] : shown[p]) d.state = State::kGone;
+        for (auto& [id, d] : shown[p]) d.state = BusState::kGone;
       for (const bus::Depot& d : e.depots) shown[p][d.id] = d;
     };
     for (int step = 0; step < 60; ++step) {
@@ -115,9 +116,9 @@
         const Kind kind = pick(4) == 0 ? Kind::kWholeList : Kind::kChanges;
         bus::Event e = list(kind, {});
         if (kind == Kind::kWholeList)
-          for (auto& [of, d] : told[p]) d.state = State::kGone;
+          for (auto& [of, d] : told[p]) d.state = BusState::kGone;
         for (int i = 1 + pick(3); i > 0; --i) {
-          const auto d = depot_of(static_cast<std::uint32_t>(pick(5)), static_cast<State>(pick(3)), pick(2) * now);
+          const auto d = depot_of(static_cast<std::uint32_t>(pick(5)), static_cast<BusState>(pick(3)), pick(2) * now);
           if (std::any_of(e.depots.begin(), e.depots.end(), [&](const auto& x) { return x.id == d.id; })) continue;
           e.depots.push_back(d);
           told[p][d.id] = d;
@@ -139,7 +140,7 @@
           const auto w = word.find(of);
           const bool held = w != word.end() && w->second.first;
           const bus::Depot& s = shown[q].at(of);
-          REQUIRE(s.state == (held && d.state == State::kReady ? State::kDraining : d.state));
+          REQUIRE(s.state == (held && d.state == BusState::kReady ? BusState::kDraining : d.state));
           if (!held)
             REQUIRE(s.started_ms == std::max(d.started_ms, w == word.end() ? std::int64_t{0} : w->second.second));
         }
@@ -301,3 +302,41 @@
     }
   }
 }
+
+// The model: a name keeps its slot while it is in force, no two names in force share one, and what a request
+// holds does not change.
+TEST_CASE("generated generations agree with a plain model") {
+  const std::uint32_t seed = std::random_device{}();
+  INFO("seed " << seed);
+  std::mt19937 random(seed);
+  generations::Classes classes;
+  std::vector<std::pair<generations::Terms, Time>> open;  // and the deadline it had
+  std::map<std::string, int> slots;
+  Time next = 1;
+  for (int round = 0; round < 400; ++round) {
+    std::vector<std::string> names;
+    std::vector<ClassSettings> terms;
+    for (int i = 0; i < 600 && names.size() < generations::Classes::kMost; ++i) {
+      if (random() % 100 >= static_cast<unsigned>(round % 60)) continue;
+      names.push_back("c" + std::to_string(i));
+      terms.emplace_back();
+      terms.back().deadline = next++;
+    }
+    classes.adopt(names, terms);
+    std::set<int> taken;
+    std::map<std::string, int> now;
+    for (std::size_t i = 0; i < names.size(); ++i) {
+      const generations::Class* c = classes.find(names[i]);
+      REQUIRE((c != nullptr && c->terms->deadline == terms[i].deadline));
+      REQUIRE(taken.insert(c->slot).second);
+      REQUIRE((!slots.contains(names[i]) || slots[names[i]] == c->slot));
+      REQUIRE(classes.by_slot().at(static_cast<std::size_t>(c->slot)).deadline == terms[i].deadline);
+      now[names[i]] = c->slot;
+      if (random() % 50 == 0) open.emplace_back(c->terms, c->terms->deadline);
+    }
+    slots = now;
+    CHECK(classes.find("nobody") == nullptr);
+    REQUIRE(classes.by_slot().size() <= generations::Classes::kMost);
+  }
+  for (const auto& [held, deadline] : open) CHECK(held->deadline == deadline);
+}
--- a/tests/doorman_test.cpp
+++ b/tests/doorman_test.cpp
@@ -161,6 +161,8 @@
     config_.replace(config_.find(from), from.size(), to);
     if (!path_.empty()) std::ofstream(path_) << config_;
   }
+  void keep() { kept_ = config_; }
+  void restore() { std::ofstream(path_) << (config_ = kept_); }
   void start() {
     char path[] = "/tmp/anisewick-test-XXXXXX";
     const Fd file(::mkstemp(path));
@@ -203,7 +205,7 @@
  private:
   Listener bus_;
   Listener front_{false};  // holds the port for the program
-  std::string config_, path_;
+  std::string config_, kept_, path_;
   std::uint64_t number_ = 0;
 };
 
@@ -647,6 +649,65 @@
   CHECK(site.caches.next().depot != h.depot);
 }
 
+TEST_CASE("SIGHUP brings classes and takes them, and what is open keeps its own") {
+  Site site;
+  site.start();
+  Stream client = site.client();
+  const auto reload = [&](const std::string& from, const std::string& to, const std::string& said) {
+    site.change(from, to);
+    site.program->signal(SIGHUP);
+    CHECK(site.program->line().find(said) != std::string::npos);
+  };
+  const auto ask = [&](const std::string& cls, const std::string& id) {
+    Ask a;
+    a.cls = cls;
+    a.id = id;
+    client.write(request(1, a));
+  };
+  ask("slot-page_b", "9b1f03aa5c7e2d40");
+  CHECK(answer(client).has("Status: 404"));
+  // In front of the others: no number may shift under what is open.
+  const std::string fresh = R"({"name":"slot-page_b","aim":400000000,"deadline":9000000000,"repeat":"free"},)";
+  ask("slot-page", "9b1f03aa5c7e2d41");
+  Heard h = site.caches.next();
+  reload("\"categories\":[", "\"categories\":[" + fresh, "configuration 2 is in force, with 3 classes");
+  h.say("DONE", "remark=hit", "one");
+  CHECK(answer(client).body == "one");
+  ask("slot-page_b", "9b1f03aa5c7e2d42");
+  h = site.caches.next();
+  CHECK(h.fields["profile"] == "slot-page_b");
+  // It is dropped, and the others may be tried only once: the one that is open is tried again all the same.
+  site.change("\"max_attempts\":8", "\"max_attempts\":1");
+  reload(fresh, "", "configuration 3 is in force, with 2 classes");
+  h.say("WAIT");
+  h = site.caches.next();
+  h.say("DONE", "remark=hit", "two");
+  CHECK(answer(client).body == "two");
+  ask("slot-page_b", "9b1f03aa5c7e2d43");
+  CHECK(answer(client).has("Status: 404"));
+  ask("slot-page", "9b1f03aa5c7e2d44");
+  site.caches.next().say("WAIT");
+  CHECK(answer(client).has("Status: 503"));
+  // Files that are no good change nothing, and requests go on being served.
+  int n = 0;
+  const std::vector<std::pair<std::string, std::string>> bad{
+      {"\"deadline\":9000000000,\"repeat\":\"free\"", "\"deadline\":0,\"repeat\":\"free\""},
+      {"\"max_attempts\":1,", ""},
+      {"\"rules\":{", "\"rulez\":{"},
+      {"\"name\":\"slot-page\"", "\"name\":\"book-slot\""},
+      {",\"purge_grace\":1000000000", ""},
+  };
+  for (const auto& [from, to] : bad) {
+    INFO(from << " as " << to);
+    site.keep();
+    reload(from, to, "the old configuration stays in force: ");
+    site.restore();
+    ask("slot-page", "9b1f03aa5c7e2d5" + std::to_string(n++));
+    site.caches.next().say("DONE", "remark=hit", "on");
+    CHECK(answer(client).body == "on");
+  }
+}
+
 TEST_CASE("Clients that say nothing, too little or too much are answered or left, and hold no one up") {
   Site site;
   site.change("\"sockets\":1024", "\"sockets\":64");
--- a/tests/facade_test.cpp
+++ b/tests/facade_test.cpp
@@ -36,7 +36,7 @@
   s.joins = true;
   s.notes = Notes::kAll;
   s.purge_settle = 6000 * kMs;
-  s.max_attempts = 8;
+  for (ClassSettings& c : s.classes) c.max_attempts = 8;
   s.max_retry_after = 1000 * kMs;
   s.tick = 2 * kMs;
   return s;
@@ -58,7 +58,7 @@
   add(9, 0, 2);
   return e;
 }
-Ask ask(int cls, std::uint64_t id = 1) { return {id, 0xabc, 0, 100.0, cls, 17, kStart + 2000 * kMs}; }
+Ask ask(int cls, std::uint64_t id = 1) { return {id, 0xabc, 0, 100.0, cls, {}, 17, kStart + 2000 * kMs}; }
 
 }  // namespace
 
@@ -128,3 +128,39 @@
   const Time oldest = facade.pick(kStart + 10 * kMs, ask(0, 2)).oldest;
   CHECK((oldest > 0 && oldest <= 310 * kMs));
 }
+
+// A request keeps the terms it began with: effect and attempts, whatever the settings say by then.
+TEST_CASE("A reload binds what comes after it, and what is open keeps its terms") {
+  struct Case {
+    Repeat began, now;
+    int attempts_began, attempts_now;
+    What then;  // after an error that may have run
+  };
+  const std::vector<Case> cases{{Repeat::kSafe, Repeat::kUnsafe, 8, 8, What::kSend},
+                                {Repeat::kUnsafe, Repeat::kSafe, 8, 8, What::kFail},
+                                {Repeat::kSafe, Repeat::kSafe, 1, 8, What::kRefuse},
+                                {Repeat::kSafe, Repeat::kSafe, 8, 1, What::kSend}};
+  for (const Case& c : cases) {
+    Settings s = settings();
+    s.classes[0].repeat = c.began;
+    s.classes[0].max_attempts = c.attempts_began;
+    Facade facade(s);
+    facade.heed(kStart, list());
+    Ask open = ask(0);
+    open.terms = std::make_shared<const ClassSettings>(s.classes[0]);
+    REQUIRE(facade.pick(kStart, open).what == What::kSend);
+    s.classes[0].repeat = c.now;
+    s.classes[0].max_attempts = c.attempts_now;
+    s.classes.push_back(s.classes[0]);  // and a new class
+    facade.retune(s);
+    CHECK(facade.report(kStart + 10 * kMs, 1, {End::kReset, 0, 0}).what == c.then);
+    Ask fresh = ask(0, 2);
+    fresh.terms = std::make_shared<const ClassSettings>(s.classes[0]);
+    REQUIRE(facade.pick(kStart + 20 * kMs, fresh).what == What::kSend);
+    const What expected = c.now == Repeat::kUnsafe ? What::kFail
+                          : c.attempts_now == 1    ? What::kRefuse
+                                                   : What::kSend;
+    CHECK(facade.report(kStart + 30 * kMs, 2, {End::kReset, 0, 0}).what == expected);
+    CHECK(facade.pick(kStart + 40 * kMs, ask(2, 3)).what == What::kSend);
+  }
+}
--- a/tests/fuzz_test.cpp
+++ b/tests/fuzz_test.cpp
@@ -58,7 +58,8 @@
     s_.parent_ramp = 8 * kSec;
     s_.parent_fall_multiple = 2.0;
     s_.purge_settle = 6 * kSec;
-    s_.max_attempts = 1 + pick(6);
+    const int attempts = 1 + pick(6);
+    for (ClassSettings& c : s_.classes) c.max_attempts = attempts;
     s_.tick = 2 * kMs;
     control_ = std::make_unique<Control>(s_);
     for (int i = 0; i < 9; ++i) {
@@ -280,7 +281,7 @@
     }
     EXPECT_LE(a.until, o.r.give_up_at);
     EXPECT_GT(a.until, now_);
-    EXPECT_LT(static_cast<int>(o.sent.size()), s_.max_attempts);
+    EXPECT_LT(static_cast<int>(o.sent.size()), s_.classes.at(0).max_attempts);
     for (const Sent& t : o.sent) {
       if (!s_.second_copies) {
         EXPECT_FALSE(t.out) << "two attempts out";
