--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -125,7 +125,9 @@
     classes.push_back(std::move(name));
     s.classes.push_back(class_from(c));
   }
-  if (classes.empty() || classes.size() > kMostClasses) throw Bad("'categories' has none or too many classes");
+  if (classes.empty() || classes.size() > kMostClasses) {
+    throw Bad("'categories' has none or too many classes");
+  }
   const element family = need(e, "family_info");
   const auto fresh = list<std::int64_t>(family, "class_fresh");
   const auto grace = list<std::int64_t>(family, "grace_for");
@@ -242,7 +244,8 @@
       keys_of(one, path + "[]", of_one);
       std::sort(of_one.begin(), of_one.end());
       both.clear();
-      std::set_intersection(common.begin(), common.end(), of_one.begin(), of_one.end(), std::back_inserter(both));
+      std::set_intersection(common.begin(), common.end(), of_one.begin(), of_one.end(),
+                            std::back_inserter(both));
       common = std::exchange(first, false) ? of_one : both;
     }
     out.insert(out.end(), common.begin(), common.end());
--- a/src/door/door.cpp
+++ b/src/door/door.cpp
@@ -19,8 +19,7 @@
 
 class Door::Visitor : public std::enable_shared_from_this<Visitor> {
  public:
-  Visitor(Door& door, Tcp::socket socket)
-      : door_(door), socket_(std::move(socket)), timer_(door.io_) {}
+  Visitor(Door& door, Tcp::socket socket) : door_(door), socket_(std::move(socket)), timer_(door.io_) {}
 
   void start() {
     limit(kLife);
--- a/src/generations/generations.cpp
+++ b/src/generations/generations.cpp
@@ -31,7 +31,8 @@
 }
 
 const Class* Classes::find(std::string_view name) const {
-  const auto it = std::find_if(in_force_.begin(), in_force_.end(), [&](const Class& c) { return c.name == name; });
+  const auto it =
+      std::find_if(in_force_.begin(), in_force_.end(), [&](const Class& c) { return c.name == name; });
   return it == in_force_.end() ? nullptr : &*it;
 }
 
--- a/src/lifecycle/lifecycle.hpp
+++ b/src/lifecycle/lifecycle.hpp
@@ -20,7 +20,8 @@
 // From here on requests on connections that never fall idle are refused, so that they do: 4 s after the call
 // none may be held with a request of the last 2 s.
 constexpr Time kRefuseAfter = 1'800 * kMs;
-// After SIGTERM clients keep coming for a while; only then is the end of all that is open the end of the work.
+// After SIGTERM clients keep coming for a while; only then is the end of all that is open the end of the
+// work.
 constexpr Time kServeOn = 1'000 * kMs;
 // SIGKILL comes so long after SIGTERM (0.7 s beyond the longest deadline, 3 s at least); what is still open
 // shortly before it is given up, so that connections end in order.
@@ -32,13 +33,13 @@
 enum class Phase { kStarting, kServing, kDuck, kStandby, kEnding };
 
 struct Duty {
-  bool ready = false;        // what the front and the operators are told
-  bool accept = false;       // take new connections
-  bool close_idle = false;   // end connections on which nothing is open
-  bool refuse = false;       // refuse what comes on connections that stay
-  bool may_end = false;      // the process ends once nothing is open
-  bool must_end = false;     // it ends now
-  Time changes = kNever;     // when this changes by itself
+  bool ready = false;       // what the front and the operators are told
+  bool accept = false;      // take new connections
+  bool close_idle = false;  // end connections on which nothing is open
+  bool refuse = false;      // refuse what comes on connections that stay
+  bool may_end = false;     // the process ends once nothing is open
+  bool must_end = false;    // it ends now
+  Time changes = kNever;    // when this changes by itself
   bool operator==(const Duty&) const = default;
 };
 
@@ -47,9 +48,9 @@
   // `shared`: the listening socket is held by others, so that a second process may serve on it.
   explicit Life(Time now, bool shared) : started_(now), shared_(shared) {}
 
-  void listed() { listed_ = true; }                  // there is a list of depots
-  void caught_up() { caught_up_ = true; }            // the event bus has told what it had
-  void handed_over() { handed_over_ = true; }        // what a process before this one left is in
+  void listed() { listed_ = true; }            // there is a list of depots
+  void caught_up() { caught_up_ = true; }      // the event bus has told what it had
+  void handed_over() { handed_over_ = true; }  // what a process before this one left is in
   void predecessor(bool there) { predecessor_ = there; }
   // Another process of this doorman says ready, and was started later.
   void successor(bool ready) { successor_ = ready; }
--- a/src/service/service.cpp
+++ b/src/service/service.cpp
@@ -16,7 +16,9 @@
 constexpr std::int64_t kMs = 1'000'000;
 constexpr lifecycle::Time kMostDeadline = 3'600'000 * kMs;  // more is no figure to wait by
 
-lifecycle::Time now() { return std::chrono::steady_clock::now().time_since_epoch() / std::chrono::nanoseconds(1); }
+lifecycle::Time now() {
+  return std::chrono::steady_clock::now().time_since_epoch() / std::chrono::nanoseconds(1);
+}
 std::int64_t unix_ms() { return net::unix_now() / kMs; }
 
 lifecycle::Time longest_deadline(const Settings& settings) {
--- a/src/service/service.hpp
+++ b/src/service/service.hpp
@@ -25,10 +25,10 @@
 
 // What the environment says beside the configuration.
 struct Surroundings {
-  std::string config_path;               // RELAY_CONFIG
-  config::Endpoint listen;               // RELAY_LISTEN, else of the configuration
-  std::optional<int> descriptor;         // RELAY_FD: a listening socket that we share
-  std::optional<config::Endpoint> ops;   // RELAY_OPS, else of the configuration; none: no door
+  std::string config_path;                  // RELAY_CONFIG
+  config::Endpoint listen;                  // RELAY_LISTEN, else of the configuration
+  std::optional<int> descriptor;            // RELAY_FD: a listening socket that we share
+  std::optional<config::Endpoint> ops;      // RELAY_OPS, else of the configuration; none: no door
   std::chrono::milliseconds report_gap{0};  // ANISEWICK_REPORT_MS; 0: no reports
 };
 
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -297,7 +297,8 @@
   const auto c = config::parse(good);
   CHECK((c.listen.address == 0x7f000004 && c.listen.port == 7001 && c.bus.port == 7070));
   CHECK((c.memory_mb == 192 && c.sockets == 1024 && c.streams == 100 && c.connect_timeout == 400'000'000));
-  CHECK((c.settings.seed == 0x8c1f30d27a5be964 && c.settings.zone == 1 && c.settings.classes[1].max_attempts == 8));
+  CHECK((c.settings.seed == 0x8c1f30d27a5be964 && c.settings.zone == 1));
+  CHECK((c.settings.classes[1].max_attempts == 8));
   CHECK(c.classes == std::vector<std::string>{"book-slot", "slot-page"});
   CHECK((c.settings.classes[0].repeat == Repeat::kUnsafe && c.settings.classes[0].never_kept));
   CHECK((c.settings.classes[1].aim == 400'000'000 && c.settings.classes[1].fresh == 8'000'000'000));
@@ -345,7 +346,8 @@
     CHECK_THROWS_AS(config::parse(bad), config::Bad);
   }
   // Cut short anywhere it is no file at all.
-  for (std::size_t n = 0; n < good.size(); n += 13) CHECK_THROWS_AS(config::parse(good.substr(0, n)), config::Bad);
+  for (std::size_t n = 0; n < good.size(); n += 13)
+    CHECK_THROWS_AS(config::parse(good.substr(0, n)), config::Bad);
 
   // A key that the file in force has may not be missing, wherever it stands; what `known` holds may change.
   const std::vector<std::tuple<std::string, std::string, bool>> changed{
@@ -358,7 +360,8 @@
       {"\"cores\":1.0,", "", false},
       {"\"cores\":1.0,", "\"cores\":0.5,\"more\":1,", true},
       {"\"ban\":{\"tag\":17,\"ts\":12}", "\"ban\":{\"tag\":18,\"ts\":13}", true},
-      {"{\"name\":\"slot-page\"", "{\"name\":\"more\",\"aim\":1,\"deadline\":5,\"repeat\":\"free\"},{\"name\":\"slot-page\"", true},
+      {"{\"name\":\"slot-page\"",
+       "{\"name\":\"more\",\"aim\":1,\"deadline\":5,\"repeat\":\"free\"},{\"name\":\"slot-page\"", true},
   };
   for (const auto& [from, to, fine] : changed) {
     std::string text = good;
--- a/tests/daily_test.cpp
+++ b/tests/daily_test.cpp
@@ -39,8 +39,9 @@
 TEST_CASE("a held depot is shown as draining whatever the bus says, and comes back cold") {
   holds::Holds h;
   CHECK_FALSE(h.detach(1, 5).has_value());  // nobody has it
-  CHECK(h.over(list(Kind::kWholeList, {depot_of(1, BusState::kReady), depot_of(2, BusState::kReady)})).depots[0].state ==
-        BusState::kReady);
+  CHECK(h.over(list(Kind::kWholeList, {depot_of(1, BusState::kReady), depot_of(2, BusState::kReady)}))
+            .depots[0]
+            .state == BusState::kReady);
   auto change = h.detach(1, 100);
   REQUIRE((change && change->kind == Kind::kChanges && change->depots.size() == 1));
   CHECK(change->depots[0].state == BusState::kDraining);
@@ -52,9 +53,11 @@
       {Kind::kChanges, depot_of(1, BusState::kReady, 150)},     // a new process
       {Kind::kChanges, depot_of(1, BusState::kReady, 150, 9)},  // elsewhere
   };
-  for (const auto& [kind, told] : news) CHECK(h.over(list(kind, {told})).depots[0].state == BusState::kDraining);
+  for (const auto& [kind, told] : news)
+    CHECK(h.over(list(kind, {told})).depots[0].state == BusState::kDraining);
   CHECK(h.over(list(Kind::kChanges, {depot_of(1, BusState::kGone)})).depots[0].state == BusState::kGone);
-  CHECK(h.over(list(Kind::kChanges, {depot_of(1, BusState::kReady, 150)})).depots[0].state == BusState::kDraining);
+  CHECK(h.over(list(Kind::kChanges, {depot_of(1, BusState::kReady, 150)})).depots[0].state ==
+        BusState::kDraining);
 
   change = h.attach(1, 200);  // twice out, once back
   REQUIRE((change && change->depots.size() == 1));
@@ -118,8 +121,10 @@
         if (kind == Kind::kWholeList)
           for (auto& [of, d] : told[p]) d.state = BusState::kGone;
         for (int i = 1 + pick(3); i > 0; --i) {
-          const auto d = depot_of(static_cast<std::uint32_t>(pick(5)), static_cast<BusState>(pick(3)), pick(2) * now);
-          if (std::any_of(e.depots.begin(), e.depots.end(), [&](const auto& x) { return x.id == d.id; })) continue;
+          const auto d =
+              depot_of(static_cast<std::uint32_t>(pick(5)), static_cast<BusState>(pick(3)), pick(2) * now);
+          if (std::any_of(e.depots.begin(), e.depots.end(), [&](const auto& x) { return x.id == d.id; }))
+            continue;
           e.depots.push_back(d);
           told[p][d.id] = d;
         }
@@ -142,7 +147,8 @@
           const bus::Depot& s = shown[q].at(of);
           REQUIRE(s.state == (held && d.state == BusState::kReady ? BusState::kDraining : d.state));
           if (!held)
-            REQUIRE(s.started_ms == std::max(d.started_ms, w == word.end() ? std::int64_t{0} : w->second.second));
+            REQUIRE(s.started_ms ==
+                    std::max(d.started_ms, w == word.end() ? std::int64_t{0} : w->second.second));
         }
       }
     }
@@ -159,8 +165,12 @@
 // ready, accept, close_idle, refuse, may_end, must_end as letters; '-' where not.
 std::string letters(const Duty& d) {
   std::string out;
-  for (const auto& [on, c] : {std::pair{d.ready, 'r'}, {d.accept, 'a'}, {d.close_idle, 'i'}, {d.refuse, 'x'},
-                              {d.may_end, 'e'}, {d.must_end, '!'}})
+  for (const auto& [on, c] : {std::pair{d.ready, 'r'},
+                              {d.accept, 'a'},
+                              {d.close_idle, 'i'},
+                              {d.refuse, 'x'},
+                              {d.may_end, 'e'},
+                              {d.must_end, '!'}})
     out.push_back(on ? c : '-');
   return out;
 }
@@ -210,34 +220,72 @@
     play(true, {{0, "handed", "------"}, {2, "listed", "ra----"}});
   }
   SECTION("one that takes over waits for the bus, but not for ever") {
-    play(true, {{0, "before", "------"}, {1, "handed", "------"}, {2, "listed", "------"}, {50, "caught", "ra----"}});
-    play(true, {{0, "before", "------"}, {1, "handed", "------"}, {2, "listed", "------"}, {1'500, "", "ra----"}});
-    play(true, {{0, "before", "------"}, {1, "handed", "------"}, {2, "listed", "------"}, {90, "alone", "ra----"}});
+    play(true, {{0, "before", "------"},
+                {1, "handed", "------"},
+                {2, "listed", "------"},
+                {50, "caught", "ra----"}});
+    play(true,
+         {{0, "before", "------"}, {1, "handed", "------"}, {2, "listed", "------"}, {1'500, "", "ra----"}});
+    play(
+        true,
+        {{0, "before", "------"}, {1, "handed", "------"}, {2, "listed", "------"}, {90, "alone", "ra----"}});
   }
   SECTION("a drain: no at once, idle connections end later, then requests are refused; off is off") {
-    play(false, {{0, "handed", "-a----"}, {1, "listed", "ra----"}, {100, "on", "-a----"}, {499, "", "-a----"},
-                 {500, "", "-ai---"}, {600, "on", "-ai---"}, {1'900, "", "-aix--"}, {5'000, "off", "ra----"},
-                 {5'010, "on", "-a----"}, {5'020, "off", "ra----"}, {5'030, "off", "ra----"}});
+    play(false, {{0, "handed", "-a----"},
+                 {1, "listed", "ra----"},
+                 {100, "on", "-a----"},
+                 {499, "", "-a----"},
+                 {500, "", "-ai---"},
+                 {600, "on", "-ai---"},
+                 {1'900, "", "-aix--"},
+                 {5'000, "off", "ra----"},
+                 {5'010, "on", "-a----"},
+                 {5'020, "off", "ra----"},
+                 {5'030, "off", "ra----"}});
   }
   SECTION("SIGTERM: it serves on for a second, then ends once nothing is open, or before it is killed") {
-    play(false, {{0, "handed", "-a----"}, {1, "listed", "ra----"}, {100, "term", "ra----"}, {1'099, "", "ra----"},
-                 {1'100, "", "----e-"}, {1'200, "term", "----e-"}, {3'650, "", "----e!"}});
+    play(false, {{0, "handed", "-a----"},
+                 {1, "listed", "ra----"},
+                 {100, "term", "ra----"},
+                 {1'099, "", "ra----"},
+                 {1'100, "", "----e-"},
+                 {1'200, "term", "----e-"},
+                 {3'650, "", "----e!"}});
   }
   SECTION("the longest deadline moves the end") {
-    play(false, {{0, "handed", "-a----"}, {1, "listed", "ra----"}, {5, "long", "ra----"}, {100, "term", "ra----"},
-                 {3'650, "", "----e-"}, {5'650, "", "----e!"}});
+    play(false, {{0, "handed", "-a----"},
+                 {1, "listed", "ra----"},
+                 {5, "long", "ra----"},
+                 {100, "term", "ra----"},
+                 {3'650, "", "----e-"},
+                 {5'650, "", "----e!"}});
   }
   SECTION("SIGTERM in a drain") {
-    play(false, {{0, "handed", "-a----"}, {1, "listed", "ra----"}, {100, "on", "-a----"}, {200, "term", "-a----"},
-                 {500, "", "-ai---"}, {1'200, "", "--i-e-"}, {1'900, "", "--ixe-"}});
+    play(false, {{0, "handed", "-a----"},
+                 {1, "listed", "ra----"},
+                 {100, "on", "-a----"},
+                 {200, "term", "-a----"},
+                 {500, "", "-ai---"},
+                 {1'200, "", "--i-e-"},
+                 {1'900, "", "--ixe-"}});
   }
   SECTION("a successor: it stands by, takes up again if that one is lost, ends when told") {
-    play(true, {{0, "handed", "------"}, {1, "listed", "ra----"}, {100, "after", "r-i---"}, {200, "lost", "ra----"},
-                {300, "after", "r-i---"}, {400, "term", "--i-e-"}, {900, "lost", "ra----"}, {1'400, "", "----e-"}});
+    play(true, {{0, "handed", "------"},
+                {1, "listed", "ra----"},
+                {100, "after", "r-i---"},
+                {200, "lost", "ra----"},
+                {300, "after", "r-i---"},
+                {400, "term", "--i-e-"},
+                {900, "lost", "ra----"},
+                {1'400, "", "----e-"}});
   }
   SECTION("an upgrade in a drain") {
-    play(true, {{0, "handed", "------"}, {1, "listed", "ra----"}, {10, "on", "-a----"}, {20, "after", "------"},
-                {410, "", "--i---"}, {500, "term", "--i-e-"}});
+    play(true, {{0, "handed", "------"},
+                {1, "listed", "ra----"},
+                {10, "on", "-a----"},
+                {20, "after", "------"},
+                {410, "", "--i---"},
+                {500, "term", "--i-e-"}});
   }
 }
 
--- a/tests/doorman_test.cpp
+++ b/tests/doorman_test.cpp
@@ -667,7 +667,8 @@
   ask("slot-page_b", "9b1f03aa5c7e2d40");
   CHECK(answer(client).has("Status: 404"));
   // In front of the others: no number may shift under what is open.
-  const std::string fresh = R"({"name":"slot-page_b","aim":400000000,"deadline":9000000000,"repeat":"free"},)";
+  const std::string fresh =
+      R"({"name":"slot-page_b","aim":400000000,"deadline":9000000000,"repeat":"free"},)";
   ask("slot-page", "9b1f03aa5c7e2d41");
   Heard h = site.caches.next();
   reload("\"categories\":[", "\"categories\":[" + fresh, "configuration 2 is in force, with 3 classes");
