Share holds, the drain and who runs between two processes of one doorman

Change: src/handover keeps a checked file in $TMPDIR, written whole and renamed into place, joined by the later word; a lock a process tells who lives. The new one is ready once holds and bus are in; the old one then takes no new connections, ends idle ones right after an answer, stands by until SIGTERM and takes up again if the other dies. While both run each has half of descriptors, memory and cold budgets.

--- /dev/null
+++ b/src/handover/folder.hpp
@@ -0,0 +1,64 @@
+// The files by which the processes of one doorman share their state: written whole and renamed into place.
+#ifndef ANISEWICK_HANDOVER_FOLDER_HPP_
+#define ANISEWICK_HANDOVER_FOLDER_HPP_
+
+#include <sys/types.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include "handover/state.hpp"
+
+namespace anisewick::handover {
+
+// Owned by the program, used on its one thread; no call waits for longer than a few milliseconds. Each
+// process holds a lock on a file of its own for as long as it lives, by which the others know: the kernel
+// lets go of it however the process ends.
+class Folder {
+ public:
+  // `directory` lasts over the processes of the doorman `name`. `say` gets one line for what was set aside
+  // or could not be written.
+  Folder(std::string directory, std::string name, std::uint64_t incarnation, std::int64_t started_ms,
+         std::function<void(const std::string&)> say);
+  ~Folder();
+  Folder(const Folder&) = delete;
+
+  std::uint64_t incarnation() const { return self_.incarnation; }
+  // Something was written since the last look, by anybody; or somebody who ran has ended.
+  bool changed();
+  // What is known of it all, of those who live.
+  const State& look();
+  // Joins what is said here to what is there. False: it could not be written, and is tried again at the next
+  // look; what is known here holds all the same.
+  bool publish(const std::vector<holds::Mark>& marks, const Drain& drain, bool ready);
+
+  // A larger value that one process leaves for the next, whole or not at all.
+  bool leave(std::string_view bytes);
+  // That of any other process; empty where there is none.
+  std::string left_by_others(std::size_t most) const;
+
+ private:
+  std::string path(std::string_view file) const { return directory_ + "/anisewick." + std::string(file); }
+  bool lives(std::uint64_t incarnation) const;
+  State read();
+  bool write(const std::string& to, std::string_view bytes);
+
+  const std::string directory_;
+  const std::function<void(const std::string&)> say_;
+  int alive_ = -1;  // holds the lock
+  int gate_ = -1;   // held while the state is written
+  State state_;     // what is known
+  Runner self_;
+  bool owed_ = false;  // what is known here is not in the file
+  ino_t seen_ = 0;     // of the state file
+  std::int64_t seen_at_ = 0;
+  bool failing_ = false;
+};
+
+}  // namespace anisewick::handover
+
+#endif  // ANISEWICK_HANDOVER_FOLDER_HPP_
--- a/src/lifecycle/lifecycle.cpp
+++ b/src/lifecycle/lifecycle.cpp
@@ -32,6 +32,7 @@
     duty.changes = std::min(duty.changes, at);
     return false;
   };
+  duty.half = successor_ || (predecessor_ && (!announced_at_ || !from(*announced_at_ + kSettled)));
   switch (phase(now)) {
     case Phase::kStarting:
       // On a socket of one's own those who come early find out by asking; a shared one is left to the others.
@@ -54,6 +55,7 @@
       duty.must_end = from(*term_at_ + std::max(longest_, kLeastDeadline) + kKillAfter - kKillMargin);
       if (successor_) {
         duty.close_idle = duty.may_end = true;
+        duty.refuse = from(*term_at_ + kRefuseAfter);
       } else {
         duty.may_end = from(*term_at_ + kServeOn);
         duty.accept = !duty.may_end;
@@ -62,7 +64,7 @@
       // One that was told to empty goes on emptying.
       if (duck_at_) {
         duty.close_idle = from(*duck_at_ + kFrontHears) || duty.close_idle;
-        duty.refuse = from(*duck_at_ + kRefuseAfter);
+        duty.refuse = from(*duck_at_ + kRefuseAfter) || duty.refuse;
       }
       break;
   }
--- a/src/lifecycle/lifecycle.hpp
+++ b/src/lifecycle/lifecycle.hpp
@@ -30,6 +30,9 @@
 // How long one that takes over waits for news of the event bus that it cannot reach.
 constexpr Time kBusPatience = 1'500 * kMs;
 
+// After that long what the one before has left to do no longer counts against the whole.
+constexpr Time kSettled = 2'000 * kMs;
+
 enum class Phase { kStarting, kServing, kDuck, kStandby, kEnding };
 
 struct Duty {
@@ -39,6 +42,7 @@
   bool refuse = false;      // refuse what comes on connections that stay
   bool may_end = false;     // the process ends once nothing is open
   bool must_end = false;    // it ends now
+  bool half = false;        // of what a doorman may use: the other half is another process's
   Time changes = kNever;    // when this changes by itself
   bool operator==(const Duty&) const = default;
 };
@@ -54,6 +58,8 @@
   void predecessor(bool there) { predecessor_ = there; }
   // Another process of this doorman says ready, and was started later.
   void successor(bool ready) { successor_ = ready; }
+  // Once, when it is known to the others that this one takes work.
+  void announced(Time now) { announced_at_ = now; }
   void longest_deadline(Time t) { longest_ = t; }
   // True: that changed something.
   bool duck(Time now, bool on);
@@ -71,7 +77,7 @@
   const Time started_;
   const bool shared_;
   bool listed_ = false, caught_up_ = false, handed_over_ = false, predecessor_ = false, successor_ = false;
-  std::optional<Time> duck_at_, term_at_;
+  std::optional<Time> duck_at_, term_at_, announced_at_;
   Time longest_ = 0;
 };
 
--- a/src/links/bus_client.cpp
+++ b/src/links/bus_client.cpp
@@ -35,7 +35,9 @@
     without_delay(socket_);
     hello_ = bus::hello_bytes(raw_.hello ? raw_.hello() : last_);
     asio::async_write(socket_, asio::buffer(hello_), [this, turn](Error e, std::size_t) {
-      if (turn == turn_ && !closed_ && e) again();
+      if (turn != turn_ || closed_) return;
+      if (e) return again();
+      if (up_) up_();
     });
     watch(kSilence);
     read();
--- a/src/links/bus_client.hpp
+++ b/src/links/bus_client.hpp
@@ -4,6 +4,7 @@
 
 #include <array>
 #include <functional>
+#include <utility>
 #include <vector>
 
 #include "bus/bus.hpp"
@@ -25,6 +26,8 @@
   };
   BusClient(asio::io_context& io, Counters& counters, const Tcp::endpoint& at, Raw raw);
   void start() { connect(); }
+  // `up` is called at each connection, once it has been asked for what follows.
+  void when_up(std::function<void()> up) { up_ = std::move(up); }
   // Asks at the new address from here on, for what follows the last event that was heeded.
   void move(const Tcp::endpoint& at, const std::vector<bus::Event>& known);
   void close();
@@ -41,6 +44,7 @@
   std::uint64_t last_;
   Heed heed_;
   Raw raw_;
+  std::function<void()> up_;
   Tcp::socket socket_;
   asio::steady_timer timer_;
   bool closed_ = false;
--- a/src/links/depot_pool.hpp
+++ b/src/links/depot_pool.hpp
@@ -49,6 +49,8 @@
   DepotPool(asio::io_context& io, Counters& counters, Limits limits);
   ~DepotPool();
 
+  // From here on; what is open beyond it stays open.
+  void limit(std::size_t links) { limits_.links = links; }
   void heed(const bus::Event& event);
   // `done` is called once, later and never from within this call, unless the order is given up first.
   Handle send(Order order, Done done);
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -56,6 +56,7 @@
   around.listen = listen.empty() ? c.listen : config::endpoint_from(listen);
   around.ops = ops.empty() ? c.ops : config::endpoint_from(ops);
   around.descriptor = inherited();
+  around.folder = environment("TMPDIR");
   around.report_gap = report_gap();
   return service::Service(around, c).run();
 }
--- a/src/service/service.cpp
+++ b/src/service/service.cpp
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <csignal>
 #include <iostream>
+#include <random>
+#include <utility>
 
 namespace anisewick::service {
 namespace {
@@ -12,6 +14,8 @@
 using net::Error;
 
 constexpr std::size_t kShared = 2;
+constexpr auto kWatch = std::chrono::milliseconds(50);  // between two looks at what other processes were told
+constexpr auto kBusTells = std::chrono::milliseconds(150);  // so long the bus takes to tell what it has
 constexpr auto kLookAgain = std::chrono::milliseconds(10);
 constexpr std::int64_t kMs = 1'000'000;
 constexpr lifecycle::Time kMostDeadline = 3'600'000 * kMs;  // more is no figure to wait by
@@ -59,15 +63,26 @@
            [this](const bus::Event& event) { heed(event); }),
       door_(io_, [this](const door::Call& call) { return called(call); }),
       signals_(io_, SIGTERM, SIGINT, SIGUSR1),
-      next_(io_) {
+      next_(io_),
+      watching_(io_),
+      settling_(io_) {
   signals_.add(SIGHUP);
   doorman_.answers_by([this](net::Ticket ticket, const net::Answer& a) { front_.answer(ticket, a); });
   if (around_.report_gap.count() > 0) reports_.emplace(io_, counters_, around_.report_gap, std::cerr);
   life_.longest_deadline(longest_deadline(c.settings));
   classes_.adopt(c.classes, c.settings.classes);
   // Before the first request: a purge or a drain known now must not be found out later.
+  if (around_.descriptor && !around_.folder.empty()) {
+    std::random_device random;
+    const auto incarnation = static_cast<std::uint64_t>(random()) << 32 | random();
+    folder_.emplace(around_.folder, c.name, incarnation, unix_ms(),
+                    [](const std::string& line) { std::cerr << "anisewick: " << line << std::endl; });
+    publish();
+    take_in(folder_->look());
+  }
   for (const bus::Event& event : c.known) heed(event);
   life_.handed_over();
+  tune();
 }
 
 int Service::run() {
@@ -87,7 +102,16 @@
   if (reports_) reports_->start();
   wait_for_signal();
   running_ = true;
+  bus_.when_up([this] {
+    settling_.expires_after(kBusTells);
+    settling_.async_wait([this](Error e) {
+      if (e) return;
+      life_.caught_up();
+      attend();
+    });
+  });
   attend();
+  if (folder_) watch();
   io_.run();
   print_counters();
   return 0;
@@ -133,11 +157,7 @@
   c.settings.seed = config_.settings.seed;
   config_ = std::move(c);
   classes_.adopt(config_.classes, config_.settings.classes);
-  Settings settings = config_.settings;
-  settings.classes = classes_.by_slot();
-  facade_.retune(settings);
-  life_.longest_deadline(longest_deadline(settings));
-  front_.limit(front_limits(config_));
+  tune();
   bus_.move(net::endpoint_of(config_.bus.address, config_.bus.port), config_.known);
   config_.known.clear();
   ++counters_.reloads;
@@ -145,9 +165,31 @@
             << config_.classes.size() << " classes" << std::endl;
 }
 
+// The settings and limits in force, or half of what they allow while another process has the other half.
+void Service::tune() {
+  const std::uint64_t parts = half_ ? 2 : 1;
+  Settings settings = config_.settings;
+  settings.classes = classes_.by_slot();
+  settings.fall_multiple /= static_cast<double>(parts);
+  settings.parent_fall_multiple /= static_cast<double>(parts);
+  facade_.retune(settings);
+  life_.longest_deadline(longest_deadline(settings));
+  config::Config c;
+  c.sockets = config_.sockets / parts;
+  c.memory_mb = config_.memory_mb / parts;
+  front_.limit(front_limits(c));
+  depots_.limit(link_limit(c));
+}
+
 // Carries out what the life cycle says now, and looks again when it says otherwise.
 void Service::attend() {
+  if (folder_ && !announced_ && life_.phase(now()) != lifecycle::Phase::kStarting) {
+    announced_ = true;  // before the first yes: the one before must know
+    life_.announced(now());
+    publish();
+  }
   const lifecycle::Duty duty = life_.duty(now());
+  if (std::exchange(half_, duty.half) != duty.half) tune();
   front_.attend(duty);
   const bool done = duty.close_idle ? front_.empty() : front_.idle();
   if (duty.must_end || (duty.may_end && done)) return end();
@@ -159,6 +201,35 @@
   });
 }
 
+bool Service::publish() { return folder_->publish(holds_.marks(), drain_, announced_); }
+
+// What other processes of this doorman were told, and who they are.
+void Service::take_in(const handover::State& state) {
+  const bus::Event change = holds_.merge(state.marks);
+  if (change.kind != bus::Event::Kind::kNothing) doorman_.heed(change);
+  if (state.drain != drain_) {
+    drain_ = state.drain;
+    life_.duck(now(), drain_.on);
+  }
+  const handover::Others others = handover::others(state, folder_->incarnation());
+  life_.predecessor(others.before);
+  life_.successor(others.after);
+  if (running_) attend();
+}
+
+void Service::look() {
+  if (folder_ && folder_->changed()) take_in(folder_->look());
+}
+
+void Service::watch() {
+  watching_.expires_after(kWatch);
+  watching_.async_wait([this](Error error) {
+    if (error) return;
+    look();
+    watch();
+  });
+}
+
 void Service::end() {
   front_.close();
   door_.close();
@@ -173,13 +244,20 @@
   using What = door::Call::What;
   switch (call.what) {
     case What::kReady:
+      look();
+      attend();
       return life_.duty(now()).ready ? door::Verdict{200, "ready"} : door::Verdict{503, "not ready"};
     case What::kDetach:
     case What::kAttach:
       return hold(call);
     case What::kDuckOn:
     case What::kDuckOff:
-      if (life_.duck(now(), call.what == What::kDuckOn)) attend();
+      look();
+      if (life_.duck(now(), call.what == What::kDuckOn)) {
+        drain_ = {call.what == What::kDuckOn, std::max(unix_ms(), drain_.at_ms + 1)};
+        if (folder_) publish();
+        attend();
+      }
       return {200, life_.duck_now() ? "emptying" : "serving"};
   }
   return {404, "there is no such call"};
@@ -188,9 +266,11 @@
 door::Verdict Service::hold(const door::Call& call) {
   const bool out = call.what == door::Call::What::kDetach;
   const std::string id = depot::text_of(call.depot);
+  look();
   const auto change = out ? holds_.detach(call.depot, unix_ms()) : holds_.attach(call.depot, unix_ms());
   if (!change) return {404, "nobody has " + id};
   if (change->kind != bus::Event::Kind::kNothing) doorman_.heed(*change);
+  if (folder_) publish();  // before the answer: it binds a process that is to come, too
   return {200, id + (out ? " is out" : " is in")};
 }
 
--- a/src/service/service.hpp
+++ b/src/service/service.hpp
@@ -13,6 +13,8 @@
 #include "door/door.hpp"
 #include "facade/facade.hpp"
 #include "generations/generations.hpp"
+#include "handover/folder.hpp"
+#include "handover/state.hpp"
 #include "holds/holds.hpp"
 #include "lifecycle/lifecycle.hpp"
 #include "net/asio.hpp"
@@ -25,10 +27,12 @@
 
 // What the environment says beside the configuration.
 struct Surroundings {
-  std::string config_path;                  // RELAY_CONFIG
-  config::Endpoint listen;                  // RELAY_LISTEN, else of the configuration
-  std::optional<int> descriptor;            // RELAY_FD: a listening socket that we share
-  std::optional<config::Endpoint> ops;      // RELAY_OPS, else of the configuration; none: no door
+  std::string config_path;              // RELAY_CONFIG
+  config::Endpoint listen;              // RELAY_LISTEN, else of the configuration
+  std::optional<int> descriptor;        // RELAY_FD: a listening socket that we share
+  std::optional<config::Endpoint> ops;  // RELAY_OPS, else of the configuration; none: no door
+  // TMPDIR: shared by the processes of this doorman where they share the listening socket; empty: none.
+  std::string folder;
   std::chrono::milliseconds report_gap{0};  // ANISEWICK_REPORT_MS; 0: no reports
 };
 
@@ -44,7 +48,12 @@
   void wait_for_signal();
   void reload();
   void adopt(config::Config&& c);
+  void tune();
   void attend();
+  void look();
+  void take_in(const handover::State& state);
+  void watch();
+  bool publish();
   void end();
   door::Verdict called(const door::Call& call);
   door::Verdict hold(const door::Call& call);
@@ -61,11 +70,14 @@
   net::Front front_;
   holds::Holds holds_;
   lifecycle::Life life_;
+  std::optional<handover::Folder> folder_;  // where another process may take over
+  handover::Drain drain_;                   // the operators' last word
+  bool announced_ = false, half_ = false;
   net::BusClient bus_;
   std::optional<net::Reports> reports_;
   door::Door door_;
   asio::signal_set signals_;
-  asio::steady_timer next_;
+  asio::steady_timer next_, watching_, settling_;
   bool running_ = false, listed_ = false;
 };
 
--- a/tests/daily_test.cpp
+++ b/tests/daily_test.cpp
@@ -2,14 +2,20 @@
 #define CATCH_CONFIG_MAIN
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
 #include <iostream>
 #include <map>
 #include <random>
 #include <set>
+#include <sstream>
 #include <tuple>
 
 #include "door/calls.hpp"
 #include "generations/generations.hpp"
+#include "handover/folder.hpp"
+#include "handover/state.hpp"
 #include "holds/holds.hpp"
 #include "lifecycle/lifecycle.hpp"
 
@@ -172,7 +178,7 @@
                               {d.may_end, 'e'},
                               {d.must_end, '!'}})
     out.push_back(on ? c : '-');
-  return out;
+  return out + (d.half ? "h" : "");
 }
 struct Step {
   std::int64_t ms;
@@ -196,6 +202,7 @@
     if (what == "on") life.duck(now, true);
     if (what == "off") life.duck(now, false);
     if (what == "term") life.term(now);
+    if (what == "said") life.announced(now);
     if (what == "long") life.longest_deadline(5'000 * kMs);
     const Duty duty = life.duty(now);
     CHECK(letters(duty) == s.then);
@@ -219,16 +226,23 @@
   SECTION("start on a shared socket: nobody is taken before it is ready") {
     play(true, {{0, "handed", "------"}, {2, "listed", "ra----"}});
   }
-  SECTION("one that takes over waits for the bus, but not for ever") {
-    play(true, {{0, "before", "------"},
-                {1, "handed", "------"},
-                {2, "listed", "------"},
-                {50, "caught", "ra----"}});
-    play(true,
-         {{0, "before", "------"}, {1, "handed", "------"}, {2, "listed", "------"}, {1'500, "", "ra----"}});
-    play(
-        true,
-        {{0, "before", "------"}, {1, "handed", "------"}, {2, "listed", "------"}, {90, "alone", "ra----"}});
+  SECTION("one that takes over waits for the bus, but not for ever, and has half until the other settled") {
+    play(true, {{0, "before", "------h"},
+                {1, "handed", "------h"},
+                {2, "listed", "------h"},
+                {50, "caught", "ra----h"},
+                {51, "said", "ra----h"},
+                {2'050, "", "ra----h"},
+                {2'051, "", "ra----"}});
+    play(true, {{0, "before", "------h"},
+                {1, "handed", "------h"},
+                {2, "listed", "------h"},
+                {1'499, "", "------h"},
+                {1'500, "", "ra----h"}});
+    play(true, {{0, "before", "------h"},
+                {1, "handed", "------h"},
+                {2, "listed", "------h"},
+                {90, "alone", "ra----"}});
   }
   SECTION("a drain: no at once, idle connections end later, then requests are refused; off is off") {
     play(false, {{0, "handed", "-a----"},
@@ -272,20 +286,26 @@
   SECTION("a successor: it stands by, takes up again if that one is lost, ends when told") {
     play(true, {{0, "handed", "------"},
                 {1, "listed", "ra----"},
-                {100, "after", "r-i---"},
+                {100, "after", "r-i---h"},
                 {200, "lost", "ra----"},
-                {300, "after", "r-i---"},
-                {400, "term", "--i-e-"},
+                {300, "after", "r-i---h"},
+                {400, "term", "--i-e-h"},
                 {900, "lost", "ra----"},
                 {1'400, "", "----e-"}});
+    play(true, {{0, "handed", "------"},
+                {1, "listed", "ra----"},
+                {100, "after", "r-i---h"},
+                {200, "term", "--i-e-h"},
+                {2'000, "", "--ixe-h"},
+                {3'750, "", "--ixe!h"}});
   }
   SECTION("an upgrade in a drain") {
     play(true, {{0, "handed", "------"},
                 {1, "listed", "ra----"},
                 {10, "on", "-a----"},
-                {20, "after", "------"},
-                {410, "", "--i---"},
-                {500, "term", "--i-e-"}});
+                {20, "after", "------h"},
+                {410, "", "--i---h"},
+                {500, "term", "--i-e-h"}});
   }
 }
 
@@ -388,3 +408,171 @@
   }
   for (const auto& [held, deadline] : open) CHECK(held->deadline == deadline);
 }
+
+namespace {
+
+handover::State state_of(std::mt19937& random) {
+  const auto pick = [&](unsigned n) { return random() % n; };
+  handover::State s;
+  s.name = "n 1";
+  s.drain = {pick(2) == 0, static_cast<std::int64_t>(pick(4))};
+  std::map<std::uint32_t, holds::Mark> marks;
+  for (unsigned i = pick(5); i > 0; --i) {
+    const std::uint32_t id = pick(4);
+    marks[id] = {id, pick(2) == 0, static_cast<std::int64_t>(pick(4))};
+  }
+  for (const auto& [id, m] : marks) s.marks.push_back(m);
+  for (std::uint64_t i = 0; i < 3; ++i) {
+    if (pick(2) == 0) s.runners.push_back({i + 7, static_cast<std::int64_t>(i * 5), pick(2) == 0});
+  }
+  return s;
+}
+
+// A folder of its own, gone with it.
+struct Folder {
+  Folder() {
+    char name[] = "/tmp/anisewick-test-XXXXXX";
+    path = ::mkdtemp(name);
+  }
+  ~Folder() { std::filesystem::remove_all(path); }
+  std::string text() const {
+    std::ifstream file(path + "/anisewick.state");
+    std::stringstream all;
+    all << file.rdbuf();
+    return all.str();
+  }
+  void write(const std::string& text) const { std::ofstream(path + "/anisewick.state") << text; }
+  std::string path;
+};
+
+}  // namespace
+
+TEST_CASE("a state is read as it was written, and one that was harmed anywhere is not read") {
+  const std::uint32_t seed = std::random_device{}();
+  INFO("seed " << seed);
+  std::mt19937 random(seed);
+  for (int round = 0; round < 100; ++round) {
+    const handover::State s = state_of(random);
+    const std::string bytes = handover::encode(s);
+    std::string why;
+    const auto read = handover::decode(bytes, s.name, why);
+    REQUIRE((read && *read == s));
+    CHECK_FALSE(handover::decode(bytes, "n2", why));
+    CHECK(why == "it is another doorman's");
+    for (std::size_t n = 0; n < bytes.size(); ++n)
+      REQUIRE_FALSE(handover::decode(bytes.substr(0, n), s.name, why));
+    for (std::size_t n = 0; n < bytes.size(); ++n) {
+      std::string harmed = bytes;
+      harmed[n] = static_cast<char>(harmed[n] ^ (1 << random() % 7));
+      const auto other = handover::decode(harmed, s.name, why);
+      REQUIRE((!other || *other == s));  // a digit of the sum may be written in another case
+    }
+    CHECK_FALSE(handover::decode(bytes + "x", s.name, why));
+  }
+  std::string why, next = handover::encode({.name = "n", .marks = {}, .drain = {}, .runners = {}});
+  next.replace(next.find(" 1 "), 3, " 2 ");
+  CHECK_FALSE(handover::decode(next, "n", why));
+  CHECK(why == "it is of another version");
+}
+
+TEST_CASE("states join to the same whatever the order, and the later word counts") {
+  const std::uint32_t seed = std::random_device{}();
+  INFO("seed " << seed);
+  std::mt19937 random(seed);
+  for (int round = 0; round < 500; ++round) {
+    const auto a = state_of(random), b = state_of(random), c = state_of(random);
+    using handover::merged;
+    REQUIRE(merged(a, b) == merged(b, a));
+    REQUIRE(merged(merged(a, b), c) == merged(a, merged(b, c)));
+    REQUIRE(merged(a, a) == merged(a, merged(a, a)));
+    for (const holds::Mark& m : merged(a, b).marks) {
+      for (const handover::State* s : {&a, &b}) {
+        for (const holds::Mark& x : s->marks) REQUIRE((x.depot != m.depot || x.at_ms <= m.at_ms));
+      }
+    }
+  }
+}
+
+TEST_CASE("who takes over from whom, by a table") {
+  using handover::Runner;
+  const Runner old{1, 10, true}, self{2, 20, true}, fresh{3, 30, false}, next{4, 30, true}, twin{9, 20, true};
+  const auto of = [](std::vector<Runner> runners) {
+    return handover::others({.name = "n", .marks = {}, .drain = {}, .runners = std::move(runners)}, 2);
+  };
+  CHECK(of({self}) == handover::Others{false, false, false});
+  CHECK(of({old, self}) == handover::Others{true, false, false});
+  CHECK(of({self, fresh}) == handover::Others{false, false, true});
+  CHECK(of({self, next}) == handover::Others{false, true, false});
+  CHECK(of({old, self, fresh}) == handover::Others{true, false, true});
+  CHECK(of({self, twin}) == handover::Others{false, true, false});
+  CHECK(of({{1, 10, false}, self}) == handover::Others{false, false, false});  // never took work
+  CHECK(of({old}) == handover::Others{});
+}
+
+TEST_CASE("two processes share a folder: calls, who runs, and what is set aside") {
+  Folder folder;
+  std::vector<std::string> said;
+  const auto say = [&](const std::string& line) { said.push_back(line); };
+  auto first = std::make_unique<handover::Folder>(folder.path, "n1", 1, 10, say);
+  CHECK(first->publish({}, {}, true));
+  auto second = std::make_unique<handover::Folder>(folder.path, "n1", 2, 20, say);
+  CHECK(second->publish({{5, true, 100}}, {true, 90}, false));
+  CHECK(second->look().runners.size() == 2);
+  CHECK_FALSE(second->changed());
+  REQUIRE(first->changed());
+  CHECK(first->look().marks == std::vector<holds::Mark>{{5, true, 100}});
+  CHECK(first->look().drain == handover::Drain{true, 90});
+  CHECK(handover::others(first->look(), 1) == handover::Others{false, false, true});
+  CHECK(handover::others(second->look(), 2) == handover::Others{true, false, false});
+  CHECK_FALSE(first->changed());
+
+  SECTION("one that ends is noticed, also without a word") {
+    second.reset();
+    REQUIRE(first->changed());
+    CHECK(first->look().runners.size() == 1);
+    CHECK(first->look().marks.size() == 1);  // what it was told stays
+    CHECK_FALSE(first->changed());
+  }
+  SECTION("harmed files are set aside, and what is known is written again") {
+    const std::string good = folder.text();
+    for (const std::string& bad :
+         {std::string("nonsense"), good.substr(0, good.size() / 2), std::string(),
+          handover::encode({.name = "n7", .marks = {}, .drain = {}, .runners = {}})}) {
+      said.clear();
+      folder.write(bad);
+      REQUIRE(first->changed());
+      CHECK(first->look().marks.size() == 1);
+      REQUIRE(said.size() == 1);
+      CHECK(said[0].find("is set aside") != std::string::npos);
+      CHECK(folder.text() == good);
+      second->look();
+      first->look();
+      CHECK_FALSE(first->changed());
+    }
+  }
+  SECTION("a file that was taken away is written again") {
+    std::filesystem::remove(folder.path + "/anisewick.state");
+    REQUIRE(first->changed());
+    first->look();
+    CHECK(folder.text().find("mark s-00000005 1 100") != std::string::npos);
+  }
+  SECTION("a folder that cannot be written holds no call up, and is tried again") {
+    const std::string aside = folder.path + "-aside";
+    std::filesystem::rename(folder.path, aside);
+    CHECK_FALSE(first->publish({{6, true, 200}}, {}, true));
+    CHECK_FALSE(first->publish({{6, true, 200}}, {}, true));
+    CHECK(said.size() == 1);
+    CHECK(first->changed());
+    std::filesystem::rename(aside, folder.path);
+    CHECK(first->look().marks.size() == 2);
+    CHECK(second->look().marks.size() == 2);
+    CHECK_FALSE(first->changed());
+  }
+  SECTION("a larger value is left for the next") {
+    CHECK(second->left_by_others(100).empty());
+    CHECK(first->leave("what was learned"));
+    CHECK(second->left_by_others(100) == "what was learned");
+    CHECK(second->left_by_others(3).empty());
+    CHECK(first->left_by_others(100).empty());
+  }
+}
