End the old process before it is killed, with an answer to all that is open

Ruled out by a probe: reads that complete after their connection was closed (none seen; still, bytes are now left in the kernel until looked at).

--- a/src/lifecycle/lifecycle.cpp
+++ b/src/lifecycle/lifecycle.cpp
@@ -33,6 +33,12 @@
     return false;
   };
   duty.half = successor_ || (predecessor_ && (!announced_at_ || !from(*announced_at_ + kSettled)));
+  // Connections end as they fall idle, and are helped to more and more.
+  const auto empty = [&](Time at, Time all_at) {
+    duty.close_idle = from(at);
+    duty.refuse = from(all_at);
+    if (duty.close_idle) duty.thin = from(std::min(at + kThinLaterAfter, all_at)) ? kThinLater : kThinFirst;
+  };
   switch (phase(now)) {
     case Phase::kStarting:
       // On a socket of one's own those who come early find out by asking; a shared one is left to the others.
@@ -48,25 +54,23 @@
       break;
     case Phase::kDuck:
       duty.accept = !successor_;
-      duty.close_idle = from(*duck_at_ + kFrontHears);
-      duty.refuse = from(*duck_at_ + kRefuseAfter);
+      empty(*duck_at_ + kFrontHears, *duck_at_ + kRefuseAfter);
       break;
-    case Phase::kEnding:
-      duty.must_end = from(*term_at_ + std::max(longest_, kLeastDeadline) + kKillAfter - kKillMargin);
+    case Phase::kEnding: {
+      const Time end = *term_at_ + std::min(longest_, kMostDeadline) + kKillAfter - kKillMargin;
+      duty.must_end = from(end);
       if (successor_) {
-        duty.close_idle = duty.may_end = true;
-        duty.refuse = from(*term_at_ + kRefuseAfter);
+        duty.may_end = true;
+        empty(*term_at_, end - kLastWhile);
       } else {
         duty.may_end = from(*term_at_ + kServeOn);
         duty.accept = !duty.may_end;
         duty.ready = duty.accept && !duck_at_;
-      }
-      // One that was told to empty goes on emptying.
-      if (duck_at_) {
-        duty.close_idle = from(*duck_at_ + kFrontHears) || duty.close_idle;
-        duty.refuse = from(*duck_at_ + kRefuseAfter) || duty.refuse;
+        // One that was told to empty goes on emptying.
+        if (duck_at_) empty(*duck_at_ + kFrontHears, *duck_at_ + kRefuseAfter);
       }
       break;
+    }
   }
   return duty;
 }
--- a/src/net/doorman.cpp
+++ b/src/net/doorman.cpp
@@ -94,6 +94,15 @@
   facade_.gone(unix_now(), ticket);
 }
 
+void Doorman::fail_all() {
+  while (!open_.empty()) {
+    const Ticket ticket = open_.begin()->first;
+    if (open_.begin()->second->sent != 0) depots_.give_up(open_.begin()->second->sent);
+    ++counters_.given_up["ended"];
+    finish(ticket, Answer{});
+  }
+}
+
 void Doorman::act(Ticket ticket, const Step& step) {
   const auto it = open_.find(ticket);
   if (it == open_.end()) return;
--- a/src/net/doorman.hpp
+++ b/src/net/doorman.hpp
@@ -29,6 +29,8 @@
   void heed(const bus::Event& event);
   void start() { tick(); }
   void close() { ticking_.cancel(); }
+  // The end has come: all that is open is answered, and may not be tried again by itself.
+  void fail_all();
 
   bool listed() const { return listed_; }  // there was a whole list
   void taken(Ticket ticket, Call&& call) override;
--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -117,6 +117,8 @@
 
   void start() {
     without_delay(socket_);
+    Error ignored;
+    socket_.non_blocking(true, ignored);
     watch();
     read();
   }
@@ -170,9 +172,12 @@
     // A client that does not take its answers is asked for no more of them until it does.
     if (closed_ || reading_ || close_after_ || unwritten_ > kMostUnwritten) return;
     reading_ = true;
-    socket_.async_read_some(asio::buffer(in_), [self = shared_from_this()](Error error, std::size_t n) {
+    // The bytes stay in the kernel until they are looked at, so that `spare` sees a request that has come.
+    socket_.async_wait(Tcp::socket::wait_read, [self = shared_from_this()](Error error) {
       self->reading_ = false;
       if (self->closed_) return;
+      const std::size_t n = error ? 0 : self->socket_.read_some(asio::buffer(self->in_), error);
+      if (error == asio::error::would_block || error == asio::error::try_again) return self->read();
       if (error) return self->close();
       self->active_ = Clock::now();
       self->came({self->in_.data(), n});
@@ -228,7 +233,7 @@
     } else if (!call_from(r, call)) {
       ++front_.counters_.invalid;
       append_response(out, r.id, "Status: 400 Bad Request\r\n\r\n", "");
-    } else if (front_.duty_.refuse) {
+    } else if (front_.duty_.refuse || (tickets_.size() >= 1 && tickets_.size() <= thin())) {
       // This connection has to fall idle; other doormans serve the request at once.
       ++front_.counters_.turned_away;
       append_response(out, r.id, head_of({Answer::Kind::kRefused, 503, 0, {}}), "");
@@ -250,6 +255,7 @@
     answered(r.id, r.keep_connection);
   }
 
+  std::size_t thin() const { return static_cast<std::size_t>(front_.duty_.thin); }
   void drop(Ticket ticket) {
     const auto it = front_.open_.find(ticket);
     if (it == front_.open_.end()) return;
@@ -390,6 +396,8 @@
   acceptor_.close(ignored);
 }
 
+bool Front::empty() const { return connections_.empty() && !waiting_; }
+
 bool Front::idle() const {
   return open_.empty() &&
          std::all_of(connections_.begin(), connections_.end(), [](const auto& c) { return c->written(); });
--- a/src/net/front.hpp
+++ b/src/net/front.hpp
@@ -35,7 +35,7 @@
   // For good; on a socket of our own those who still wait to be taken are turned away.
   void close();
   bool idle() const;  // nothing is open and every answer is written
-  bool empty() const { return connections_.empty(); }
+  bool empty() const;  // there is no connection, and none on its way from the kernel
   void answer(Ticket ticket, const Answer& answer);
 
  private:
--- a/src/service/service.cpp
+++ b/src/service/service.cpp
@@ -16,6 +16,7 @@
 constexpr std::size_t kShared = 2;
 constexpr auto kWatch = std::chrono::milliseconds(50);  // between two looks at what other processes were told
 constexpr auto kBusTells = std::chrono::milliseconds(150);  // so long the bus takes to tell what it has
+constexpr lifecycle::Time kLastWrite = 100'000'000;  // to write the last answers
 constexpr auto kLookAgain = std::chrono::milliseconds(10);
 constexpr std::int64_t kMs = 1'000'000;
 constexpr lifecycle::Time kMostDeadline = 3'600'000 * kMs;  // more is no figure to wait by
@@ -191,10 +192,14 @@
   const lifecycle::Duty duty = life_.duty(now());
   if (std::exchange(half_, duty.half) != duty.half) tune();
   front_.attend(duty);
+  // A last answer, and a moment to write it: what is cut off without one is lost.
+  if (duty.must_end && !std::exchange(failed_, true)) doorman_.fail_all();
   const bool done = duty.close_idle ? front_.empty() : front_.idle();
-  if (duty.must_end || (duty.may_end && done)) return end();
+  const bool over = duty.must_end && (front_.idle() || now() >= over_at_);
+  if (over || (duty.may_end && done)) return end();
+  if (!duty.must_end) over_at_ = now() + kLastWrite;
   auto after = std::chrono::nanoseconds(std::min(duty.changes - now(), 1'000 * kMs));
-  if (duty.may_end) after = std::min<std::chrono::nanoseconds>(after, kLookAgain);
+  if (duty.may_end || duty.must_end) after = std::min<std::chrono::nanoseconds>(after, kLookAgain);
   next_.expires_after(std::max(after, std::chrono::nanoseconds(kMs)));
   next_.async_wait([this](Error error) {
     if (!error) attend();
--- a/src/service/service.hpp
+++ b/src/service/service.hpp
@@ -78,7 +78,8 @@
   door::Door door_;
   asio::signal_set signals_;
   asio::steady_timer next_, watching_, settling_;
-  bool running_ = false, listed_ = false;
+  bool running_ = false, listed_ = false, failed_ = false;
+  lifecycle::Time over_at_ = 0;
 };
 
 }  // namespace anisewick::service
--- a/tests/daily_test.cpp
+++ b/tests/daily_test.cpp
@@ -178,7 +178,7 @@
                               {d.may_end, 'e'},
                               {d.must_end, '!'}})
     out.push_back(on ? c : '-');
-  return out + (d.half ? "h" : "");
+  return out + (d.half ? "h" : "") + (d.thin > 0 ? std::to_string(d.thin) : "");
 }
 struct Step {
   std::int64_t ms;
