Refuse only the last requests of an old process, and leave the others be

Tried: refusing what finds one or two open on a connection, so that it falls idle and can be closed.

--- a/src/lifecycle/lifecycle.cpp
+++ b/src/lifecycle/lifecycle.cpp
@@ -33,11 +33,11 @@
     return false;
   };
   duty.half = successor_ || (predecessor_ && (!announced_at_ || !from(*announced_at_ + kSettled)));
-  // Connections end as they fall idle, and are helped to more and more.
+  // Connections end as they fall idle. To refuse what finds little open on one, so that it does, was tried:
+  // those refused came again on the same connection, and twice as many were.
   const auto empty = [&](Time at, Time all_at) {
     duty.close_idle = from(at);
     duty.refuse = from(all_at);
-    if (duty.close_idle) duty.thin = from(std::min(at + kThinLaterAfter, all_at)) ? kThinLater : kThinFirst;
   };
   switch (phase(now)) {
     case Phase::kStarting:
--- a/src/lifecycle/lifecycle.hpp
+++ b/src/lifecycle/lifecycle.hpp
@@ -17,20 +17,17 @@
 // The front goes on opening connections for 0.2 s after it has heard no, and asks every 0.1 s: a connection
 // closed earlier than this would only come back.
 constexpr Time kFrontHears = 400 * kMs;
-// A connection that is to end and never falls idle is helped to: a request that finds at most so many open on
-// it is refused, first one, then two. Those that are refused are then few, for little is left to wait for.
-constexpr int kThinFirst = 1, kThinLater = 2;
-constexpr Time kThinLaterAfter = 1'000 * kMs;  // after the first
-// From here on all of them are: 4 s after the call none may be held with a request of the last 2 s.
+// From here on requests on connections that never fall idle are refused, so that they do: 4 s after the call
+// none may be held with a request of the last 2 s.
 constexpr Time kRefuseAfter = 1'800 * kMs;
 // After SIGTERM clients keep coming for a while; only then is the end of all that is open the end of the
 // work.
 constexpr Time kServeOn = 1'000 * kMs;
-// SIGKILL comes so long after SIGTERM: 0.7 s beyond the longest deadline, which counts as 3 s if it is longer.
-// What is still open shortly before is given up with an answer; what comes in the last while is refused, for
-// its answer would hardly come in time.
+// SIGKILL comes so long after SIGTERM: 0.7 s beyond the longest deadline, which counts as 3 s if it is
+// longer. What is still open shortly before is given up with an answer; what comes in the last while is
+// refused, for its answer would hardly come in time.
 constexpr Time kMostDeadline = 3'000 * kMs;
-constexpr Time kKillAfter = 700 * kMs, kKillMargin = 150 * kMs, kLastWhile = 400 * kMs;
+constexpr Time kKillAfter = 700 * kMs, kKillMargin = 150 * kMs, kLastWhile = 200 * kMs;
 // How long one that takes over waits for news of the event bus that it cannot reach.
 constexpr Time kBusPatience = 1'500 * kMs;
 
@@ -43,7 +40,6 @@
   bool ready = false;       // what the front and the operators are told
   bool accept = false;      // take new connections
   bool close_idle = false;  // end connections on which nothing is open
-  int thin = 0;             // refuse what finds at most so many open on its connection; 0: nothing
   bool refuse = false;      // refuse what comes on connections that stay
   bool may_end = false;     // the process ends once nothing is open
   bool must_end = false;    // it ends now
--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -233,7 +233,7 @@
     } else if (!call_from(r, call)) {
       ++front_.counters_.invalid;
       append_response(out, r.id, "Status: 400 Bad Request\r\n\r\n", "");
-    } else if (front_.duty_.refuse || (tickets_.size() >= 1 && tickets_.size() <= thin())) {
+    } else if (front_.duty_.refuse) {
       // This connection has to fall idle; other doormans serve the request at once.
       ++front_.counters_.turned_away;
       append_response(out, r.id, head_of({Answer::Kind::kRefused, 503, 0, {}}), "");
@@ -255,7 +255,6 @@
     answered(r.id, r.keep_connection);
   }
 
-  std::size_t thin() const { return static_cast<std::size_t>(front_.duty_.thin); }
   void drop(Ticket ticket) {
     const auto it = front_.open_.find(ticket);
     if (it == front_.open_.end()) return;
