Test the door, holds, drains and upgrades on real processes, and write their pages

Two processes on one descriptor under load with every request accounted for, new ones killed before and after they are ready, calls that outlive a kill, silent callers at a full door, last answers before the kill. Pages for on-call staff for each part.

--- /dev/null
+++ b/tests/daily_process_test.cpp
@@ -0,0 +1,411 @@
+// The program as the staff run it: the door, depots taken out, drains, upgrades; one case a rule.
+#define CATCH_CONFIG_MAIN
+#include <atomic>
+#include <catch2/catch.hpp>
+#include <cstdlib>
+#include <filesystem>
+#include <iostream>
+#include <mutex>
+#include <random>
+#include <set>
+#include <thread>
+
+#include "peers.hpp"
+#include "site.hpp"
+
+using namespace anisewick;
+using namespace anisewick::peers;
+
+namespace {
+
+struct Folder {
+  Folder() {
+    char name[] = "/tmp/anisewick-test-XXXXXX";
+    path = ::mkdtemp(name);
+  }
+  ~Folder() { std::filesystem::remove_all(path); }
+  std::string path;
+};
+
+// A port that was free a moment ago.
+int free_port() { return Listener(false).port(); }
+
+// The status of one call, and its answer whole.
+struct Called {
+  int status = 0;
+  std::string text;
+  std::int64_t ms = 0;
+};
+Called call(int port, const std::string& method, const std::string& path, const std::string& more = "") {
+  const std::int64_t from = now_ms();
+  Stream s = Stream::to(port);
+  s.write(method + " " + path + " HTTP/1.1\r\nHost: ops\r\n" + (more.empty() ? "\r\n" : more));
+  Called c;
+  std::string line;
+  try {
+    c.status = std::stoi(s.line().substr(9, 3));
+    std::size_t length = 0;
+    while (!(line = s.line()).empty()) {
+      c.text += line + "\n";
+      if (line.starts_with("Content-Length: ")) length = std::stoul(line.substr(16));
+    }
+    c.text += s.take(length);
+  } catch (const std::exception&) {
+  }
+  c.ms = now_ms() - from;
+  return c;
+}
+
+// A site whose program has a door, and whose listening socket is handed down.
+struct Daily : Site {
+  Daily() : Site("", true, true, true) {}
+  Around around(int port) {
+    return {{{"RELAY_OPS", "127.0.0.1:" + std::to_string(port)}, {"TMPDIR", folder.path}}, front_fd()};
+  }
+  void start() { Site::start(around(door)); }
+  Called ops(const std::string& method, const std::string& path, int at = 0) {
+    return call(at == 0 ? door : at, method, path);
+  }
+  bool ready(int at) {
+    for (int i = 0; i < 2'000; ++i) {
+      try {
+        if (ops("GET", "/_ready", at).status == 200) return true;
+      } catch (const std::exception&) {  // it does not listen yet
+      }
+      std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    return false;
+  }
+  Folder folder;
+  int door = free_port(), second_door = free_port();
+};
+
+Ask numbered(std::uint64_t n) {
+  Ask a;
+  a.id = hex16(0x1000u + n);
+  a.object = hex16(0xabc000u + n);
+  return a;
+}
+
+// Answers all that the caches hear, until it goes.
+class Serving {
+ public:
+  explicit Serving(Caches& caches)
+      : thread_([this, &caches] {
+          while (!over_) {
+            try {
+              const auto h = caches.next(20);
+              if (h && h->verb == "fetch") {
+                {
+                  const std::lock_guard hold(mutex_);
+                  ++asked_[h->depot];
+                  ++runs_[h->id];
+                }
+                h->say("DONE", "remark=hit", "whole");
+              }
+            } catch (const std::exception&) {  // a process died in the middle of a line
+            }
+          }
+        }) {}
+  ~Serving() {
+    over_ = true;
+    thread_.join();
+  }
+  int asked(std::size_t depot) {
+    const std::lock_guard hold(mutex_);
+    return asked_[depot];
+  }
+
+ private:
+  std::atomic<bool> over_ = false;
+  std::mutex mutex_;
+  std::map<std::size_t, int> asked_;
+  std::map<std::string, int> runs_;
+  std::thread thread_;
+};
+
+// A client that asks one after another on connections it keeps, as a web server does: where one was closed
+// with nothing of the answer, it asks once more on a new one.
+struct Tally {
+  int served = 0, again = 0, lost = 0, refused = 0;
+};
+Tally ask_on(Site& site, std::uint64_t from, const std::function<bool()>& enough) {
+  Tally tally;
+  std::optional<Stream> s;
+  for (std::uint64_t n = from; !enough(); ++n) {
+    for (int attempt = 0;; ++attempt) {
+      try {
+        if (!s) s = site.client();
+        s->write(request(1, numbered(n)));
+        const Answer a = answer(*s);
+        ++(a.body == "whole" ? tally.served : a.has("503") ? tally.refused : tally.lost);
+        break;
+      } catch (const std::exception&) {
+        s.reset();
+        if (attempt == 1) {
+          ++tally.lost;
+          break;
+        }
+        ++tally.again;
+      }
+    }
+  }
+  return tally;
+}
+
+}  // namespace
+
+TEST_CASE("The door answers each call, also with silent and half callers at it") {
+  Daily site;
+  site.start();
+  REQUIRE(site.ready(site.door));
+  std::vector<Stream> silent;
+  for (int i = 0; i < 50; ++i) {  // more than the door holds
+    silent.push_back(Stream::to(site.door));
+    if (i % 2 == 0) silent.back().write("POST /_lameduck/o");
+  }
+  const std::vector<std::tuple<std::string, std::string, int>> calls{
+      {"GET", "/_ready", 200},
+      {"POST", "/_depots/detach/s-00000001", 200},
+      {"POST", "/_depots/detach/s-00000001", 200},
+      {"POST", "/_depots/attach/s-00000001", 200},
+      {"POST", "/_depots/attach/s-00000001", 200},
+      {"POST", "/_depots/detach/s-000000aa", 404},
+      {"POST", "/_depots/attach/s-000000aa", 404},
+      {"POST", "/_depots/detach/1", 400},
+      {"GET", "/_depots/detach/s-00000001", 405},
+      {"POST", "/_ready", 405},
+      {"GET", "/metrics", 404},
+  };
+  for (const auto& [method, path, status] : calls) {
+    INFO(method << " " << path);
+    const Called c = site.ops(method, path);
+    CHECK(c.status == status);
+    CHECK(c.ms < 1000);
+    CHECK(c.text.find("Connection: close") != std::string::npos);
+    CHECK((status == 405) == (c.text.find("Allow: ") != std::string::npos));
+  }
+  CHECK(call(site.door, "POST", "/_lameduck/off", "Content-Length: 5\r\n\r\nabcde").status == 200);
+  // What cannot be read ends that connection, with an answer.
+  Stream bad = Stream::to(site.door);
+  bad.write("nonsense\r\n\r\n");
+  CHECK(bad.line().find("400") != std::string::npos);
+  CHECK(site.health().has("Status: 200"));
+}
+
+TEST_CASE("A descriptor that is no listening TCP socket is told in a line, and ends it with 1") {
+  Site site;
+  site.write();
+  const Fd file(::open("/dev/null", O_RDONLY)), made(::socket(AF_INET, SOCK_STREAM, 0));
+  const Fd datagrams(::socket(AF_INET, SOCK_DGRAM, 0));
+  for (const int fd : {-1, file.get(), made.get(), datagrams.get()}) {
+    Around around;
+    around.descriptor = fd;
+    if (fd < 0) around.variables = {{"RELAY_FD", "77"}};
+    const auto [code, said] = site.another(around)->wait();
+    CHECK(code == 1);
+    CHECK(said.find("no listening TCP socket") != std::string::npos);
+  }
+  CHECK(site.another({{{"RELAY_FD", "five"}}, -1})->wait().second.find("no number") != std::string::npos);
+}
+
+TEST_CASE("A depot that is taken out gets nothing, whatever the bus says, and comes back with its call") {
+  Daily site;
+  site.start();
+  REQUIRE(site.ready(site.door));
+  Stream client = site.client();
+  std::uint64_t n = 0;
+  const auto asked = [&](int times) {
+    std::vector<int> by{0, 0};
+    for (int i = 0; i < times; ++i) {
+      client.write(request(1, numbered(++n)));
+      const Heard h = site.caches.next();
+      ++by.at(h.depot);
+      CHECK(h.fields.contains("from"));
+      h.say("DONE", "remark=hit", "whole");
+      CHECK(answer(client).body == "whole");
+    }
+    return by;
+  };
+  CHECK(asked(40)[0] > 0);
+  CHECK(site.ops("POST", "/_depots/detach/s-00000001").status == 200);
+  CHECK(asked(40)[0] == 0);
+  site.tell(2, site.depots[0].record(), "lists=3 ");  // the bus says ready again
+  CHECK(asked(20)[0] == 0);
+  CHECK(site.ops("POST", "/_depots/attach/s-00000001").status == 200);
+  // Soon, but within the budget of one that has just started, in which what it was sent before counts.
+  int back = 0;
+  const std::int64_t from = now_ms();
+  while (back == 0 && now_ms() - from < 5'000) back = asked(10)[0];
+  CHECK(back > 0);
+  // As a source too: a parent that is taken out is named no more.
+  CHECK(site.ops("POST", "/_depots/detach/s-00000008").status == 200);
+  client.write(request(1, numbered(++n)));
+  const Heard h = site.caches.next();
+  CHECK((h.fields.contains("from") && h.fields.at("from") == "s-00000009"));
+  h.say("DONE", "remark=hit", "whole");
+  CHECK(answer(client).body == "whole");
+}
+
+TEST_CASE("In a drain it says no, answers what is open, ends what is idle, and stays") {
+  Daily site;
+  site.start();
+  REQUIRE(site.ready(site.door));
+  Stream idle = site.client(), busy = site.client();
+  idle.write(request(1, numbered(1)));
+  site.caches.next().say("DONE", "remark=hit", "whole");
+  CHECK(answer(idle).body == "whole");
+  busy.write(request(1, numbered(2)));
+  const Heard h = site.caches.next();
+  CHECK(site.ops("POST", "/_lameduck/on").status == 200);
+  CHECK(site.ops("GET", "/_ready").status == 503);
+  CHECK(site.health().has("Status: 503"));
+  CHECK(idle.ends());
+  // On the connection that is not idle requests are still served, and at last refused.
+  const std::int64_t from = now_ms();
+  bool refused = false;
+  for (std::uint64_t n = 10; !refused && now_ms() - from < 10'000; ++n) {
+    busy.write(request(2, numbered(n)));
+    if (auto other = site.caches.next(100)) other->say("DONE", "remark=hit", "whole");
+    const Answer a = answer(busy);
+    refused = a.has("503") && a.has("X-Come-Back-Ms");
+    CHECK((refused || a.body == "whole"));
+  }
+  CHECK(refused);
+  CHECK(now_ms() - from < 3'000);
+  h.say("DONE", "remark=hit", "late");
+  CHECK(answer(busy).body == "late");
+  CHECK(busy.ends());
+  CHECK(site.program->running());
+  site.program->signal(SIGHUP);  // a reload changes nothing about it
+  CHECK(site.program->line().find("is in force") != std::string::npos);
+  CHECK(site.health().has("Status: 503"));
+  CHECK(site.ops("POST", "/_lameduck/off").status == 200);
+  CHECK(site.health().has("Status: 200"));
+  for (const char* path : {"/_lameduck/on", "/_lameduck/off", "/_lameduck/on", "/_lameduck/off"})
+    CHECK(site.ops("POST", path).status == 200);
+  CHECK(site.ops("GET", "/_ready").status == 200);
+  CHECK(site.ops("POST", "/_lameduck/on").status == 200);
+  site.program->signal(SIGTERM);
+  CHECK(site.program->wait().first == 0);
+}
+
+TEST_CASE("Two processes on one descriptor: calls and drains are shared, and no request is lost") {
+  Daily site;
+  site.start();
+  REQUIRE(site.ready(site.door));
+  CHECK(site.ops("POST", "/_depots/detach/s-00000001").status == 200);
+  Serving serving(site.caches);
+  std::atomic<bool> over = false;
+  std::vector<Tally> tallies(6);
+  std::vector<std::thread> clients;
+  for (std::size_t i = 0; i < tallies.size(); ++i) {
+    clients.emplace_back(
+        [&, i] { tallies[i] = ask_on(site, 1'000'000 * (i + 1), [&] { return over.load(); }); });
+  }
+  auto next = site.another(site.around(site.second_door));
+  Stream bus = site.bus_joined();
+  CHECK(site.ready(site.second_door));
+  CHECK(site.ops("GET", "/_ready").status == 200);  // it stands by
+  // A call at either is known to both.
+  CHECK(site.ops("POST", "/_depots/attach/s-00000001").status == 200);
+  CHECK(site.ops("POST", "/_depots/detach/s-00000002", site.second_door).status == 200);
+  site.program->signal(SIGTERM);
+  CHECK(site.program->wait().first == 0);
+  const int before = serving.asked(1);
+  const int first = serving.asked(0);
+  for (int i = 0; i < 1'000 && serving.asked(0) < first + 50; ++i)
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  CHECK(serving.asked(0) >= first + 50);
+  CHECK(serving.asked(1) == before);
+  over = true;
+  for (std::thread& t : clients) t.join();
+  Tally all;
+  for (const Tally& t : tallies) {
+    all.served += t.served;
+    all.lost += t.lost;
+  }
+  CHECK(all.served > 100);
+  CHECK(all.lost == 0);
+  CHECK(site.ops("GET", "/_ready", site.second_door).status == 200);
+}
+
+TEST_CASE("A new process that dies before or after it is ready leaves the old one in service") {
+  const std::uint32_t seed = std::random_device{}();
+  INFO("seed " << seed);
+  std::mt19937 random(seed);
+  Daily site;
+  site.start();
+  REQUIRE(site.ready(site.door));
+  Serving serving(site.caches);
+  std::atomic<bool> over = false;
+  Tally tally;
+  std::thread client([&] { tally = ask_on(site, 1, [&] { return over.load(); }); });
+  for (int round = 0; round < 8; ++round) {
+    auto next = site.another(site.around(site.second_door));
+    if (round % 2 == 0) {
+      CHECK(site.ready(site.second_door));
+    } else {
+      std::this_thread::sleep_for(std::chrono::milliseconds(random() % 60));
+    }
+    next->signal(SIGKILL);
+    next->wait();
+    CHECK(site.health().has("Status: 200"));
+    CHECK(site.ops("POST", "/_depots/detach/s-00000001").status == 200);
+    CHECK(site.ops("POST", "/_depots/attach/s-00000001").status == 200);
+  }
+  over = true;
+  client.join();
+  CHECK(tally.served > 8);
+  CHECK(tally.lost <= 8);  // what the killed ones had taken
+}
+
+TEST_CASE("A call holds over the end of the process that heard it, however that ended") {
+  Daily site;
+  site.start();
+  REQUIRE(site.ready(site.door));
+  CHECK(site.ops("POST", "/_depots/detach/s-00000001").status == 200);
+  CHECK(site.ops("POST", "/_lameduck/on").status == 200);
+  site.program->signal(SIGKILL);
+  site.program->wait();
+  site.program = site.another(site.around(site.second_door));
+  const Stream bus = site.bus_joined();
+  for (int i = 0; i < 500; ++i) {
+    try {
+      CHECK(site.ops("GET", "/_ready", site.second_door).status == 503);
+      break;
+    } catch (const std::exception&) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+  }
+  CHECK(site.ops("POST", "/_lameduck/off", site.second_door).status == 200);
+  REQUIRE(site.ready(site.second_door));
+  Stream client = site.client();
+  for (std::uint64_t n = 0; n < 30; ++n) {
+    client.write(request(1, numbered(n)));
+    const Heard h = site.caches.next();
+    CHECK(h.depot == 1);
+    h.say("DONE", "remark=hit", "whole");
+    CHECK(answer(client).body == "whole");
+  }
+}
+
+TEST_CASE("What is still open shortly before the kill gets a last answer") {
+  Daily site;
+  site.change("\"deadline\":9000000000,\"repeat\":\"free\"", "\"deadline\":1000000000,\"repeat\":\"free\"");
+  site.change("\"deadline\":9000000000,\"repeat\":\"single_shot\"",
+              "\"deadline\":1000000000,\"repeat\":\"single_shot\"");
+  site.start();
+  REQUIRE(site.ready(site.door));
+  Stream client = site.client();
+  Ask a = numbered(1);
+  a.patience_ms = 2'000;
+  client.write(request(1, a));
+  site.caches.next();  // and never answers
+  const std::int64_t from = now_ms();
+  site.program->signal(SIGTERM);
+  const Answer last = answer(client);
+  CHECK(last.has("Status: 502"));
+  CHECK(site.program->wait().first == 0);
+  CHECK(now_ms() - from < 1'700);
+}
--- a/tests/peers.hpp
+++ b/tests/peers.hpp
@@ -152,11 +152,24 @@
   int port_ = 0;
 };
 
+// What the platform may say beside the configuration and the address.
+struct Around {
+  std::vector<std::pair<std::string, std::string>> variables;
+  int descriptor = -1;  // handed down as RELAY_FD, by the number 5
+};
+
 // The program, started as the platform starts it.
 class Program {
  public:
-  Program(const std::string& path, const std::string& config, const std::string& listen) {
+  Program(const std::string& path, const std::string& config, const std::string& listen,
+          const Around& around = {}) {
     start(path, {}, [&] {
+      for (const auto& [name, value] : around.variables) ::setenv(name.c_str(), value.c_str(), 1);
+      if (around.descriptor >= 0) {
+        ::setenv("RELAY_FD", "5", 1);
+        ::dup2(around.descriptor, 5);
+        if (around.descriptor == 5) ::fcntl(5, F_SETFD, 0);
+      }
       ::setenv("RELAY_CONFIG", config.c_str(), 1);
       ::setenv("RELAY_LISTEN", listen.c_str(), 1);
     });
@@ -189,6 +202,7 @@
     if (c != '\n') throw std::runtime_error("no line: " + text);
     return text;
   }
+  pid_t pid() const { return pid_; }
   bool running() { return ::waitpid(pid_, nullptr, WNOHANG) == 0; }
   // All it wrote to standard error until its end, and its exit code (-1: killed).
   std::pair<int, std::string> wait() {
