Hand what the decisions have learned to the process that takes over

Need: a new process began with no counts, no health and no usual rate of the origin; seen in the reports: it asked a depot again that the old one had left out for seconds (4 to 7 attempts, most of them late). Change: the module gives and takes what it has learned as plain values (include/anisewick/learned.hpp); the old process leaves it in the shared folder when it sees a new one start, checked and bounded, and the new one takes it before its first yes, after the list and the calls; of another process of a depot nothing is taken. Measured: who starts with it asks the failing depot at most once in 30 (more than 5 without), and keeps the hot object.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -10,7 +10,7 @@
 #include <set>
 #include <utility>
 
-#include "measures/window.hpp"
+#include "anisewick/learned.hpp"
 
 namespace anisewick {
 namespace {
@@ -107,6 +107,22 @@
     const auto it = table_.find(key);
     return it != table_.end() && it->second.admitted;
   }
+  std::vector<Counted> hottest() const {
+    std::vector<Counted> all;
+    for (const auto& [key, e] : table_) {
+      if (e.admitted || e.in_heap) all.push_back({key, e.count, e.admitted});
+    }
+    return all;
+  }
+  // Into what is counted here, which goes before it.
+  void take(const std::vector<Counted>& all) {
+    for (const Counted& c : all) {
+      Order& order = c.admitted ? admitted_ : heap_;
+      if (order.size() >= (c.admitted ? kSetTimesTop * kTop : kTop) || table_.contains(c.key)) continue;
+      table_[c.key] = {c.count, c.admitted, !c.admitted};
+      order.insert({c.count, c.key});
+    }
+  }
 
  private:
   struct Entry {
@@ -177,46 +193,18 @@
   Time next_round_ = 0, next_halving_ = 0;
 };
 
-struct Smoothed : measures::Smoothed {
-  Smoothed() : measures::Smoothed(kSmooth) {}
-};
-
-// How well a server does in one role: as the cache asked, or as the source of fills.
-struct Health {
-  double failing = 0.0;
-  Smoothed slowness;  // elapsed over what it should take
-  Time next_trial = 0;
-  bool out = false;
-  void add(bool failed, double weight = 1.0) {
-    failing += kFailSmooth * weight * ((failed ? 1.0 : 0.0) - failing);
-  }
-};
+void add(Health& h, bool failed, double weight = 1.0) {
+  h.failing += kFailSmooth * weight * ((failed ? 1.0 : 0.0) - h.failing);
+}
 
 enum class Role { kCache, kParent, kOrigin };
 
-// The limit on fills at one server, learned from how its fills end.
-struct Crowd {
-  double filling = 0.0;  // work out for which a fill is allowed
-  double peak = 0.0;     // the most of it lately: what is out just now may be low by chance
-  Time peak_at = 0;
-  double limit = 0.0;       // of that; 0: not met yet
-  double late_share = 0.0;  // smoothed share of fills that were late or failed
-  Time next_cut = 0;
-};
-
-struct Server {
+struct Server : Experience {
   Member m;
   Role role = Role::kCache;
   std::uint64_t hash = 0;
   bool listed = false;
-  Health asked, sourced;
-  Crowd crowd;
-  Smoothed first_byte;
-  measures::Window sent;  // work sent within the fall window, in seconds of sending
-  Time answered = 0;  // when it last gave any answer, good or bad
   double open = 0.0;  // work that this front has out there
-  double rate = 0.0;  // work served a second, smoothed over kRateMemory
-  Time rated = 0;
 
   bool up() const { return listed && m.state == State::kUp; }
   void served(Time now, double work) {  // asked-for work would overstate what a crowded server can do
@@ -232,13 +220,7 @@
 // What the origin gives in time, and how much of it is asked for while it is weak or many copies have become
 // void. A front of many sees few of its answers: so what it usually gave is the measure, a purge of a group a
 // sign before any answer is late, and what it is asked for grows again with time as well as with answers.
-struct Throttle {
-  double usual = 0.0;  // answers in time a second, smoothed, while it is not paced
-  double gain = 0.0;   // of that; 0: not paced
-  double tokens = 0.0;
-  double late_share = 0.0;  // smoothed
-  Time at = 0, cut_at = 0, denied_at = 0, seen_at = 0;
-
+struct Throttle : Pace {
   void advance(Time now) {
     const double passed = static_cast<double>(now - at) / kSecond;
     at = now;
@@ -409,6 +391,28 @@
     std::erase_if(servers, [&](const auto& kv) { return !kv.second.listed && !named.contains(&kv.second); });
   }
 
+  // ---- What is learned, for a further process of this front, and taken by one that knows nothing yet. The list
+  // goes before it: nothing is taken of a server that is not listed, or of another process of it.
+  Learned learned() const {
+    Learned all{{}, hotness.hottest(), from_origin, links_late, retries};
+    for (const auto& [id, server] : servers) {
+      if (server.listed) all.servers[id] = {server.m.started_at, server};
+    }
+    return all;
+  }
+  void learn(const Learned& all) {
+    for (const auto& [id, of] : all.servers) {
+      const auto it = servers.find(id);
+      if (it == servers.end() || it->second.m.started_at != of.process || it->second.answered > 0) continue;
+      static_cast<Experience&>(it->second) = of.what;
+      it->second.crowd.filling = 0.0;  // what is out there now is the other's
+    }
+    hotness.take(all.objects);
+    static_cast<Pace&>(from_origin) = all.origin;
+    links_late = all.links_late;
+    retries = std::min(kRetryStore, all.retries);
+  }
+
   // ---- Purges (rule 5): no copy older than the purge will do, for as long as one may be left anywhere.
   void purged(Time now, const Purge& p) {
     const Time at = now - p.age;
@@ -471,7 +475,7 @@
     const double window = static_cast<double>(s.fall_window) / kSecond;
     const double budget = kColdMargin * multiple * share * part * window;
     const double mean = mean_work();
-    if (!parent || budget >= mean || mean <= 0.0) return server.sent.sum() + work <= budget;
+    if (!parent || budget >= mean || mean <= 0.0) return server.sent.sum + work <= budget;
     // A part under one request would round up to a request each, or shut the parent out. So the fronts take
     // turns, by a shift that all draw alike: in each slot as many as half the budget of all has mean requests
     // for (a window sees two slots) have it to share, and what one does not use in its turn is lost.
@@ -480,7 +484,7 @@
     const std::uint64_t shift = mix(static_cast<std::uint64_t>(now / s.fall_window) ^ server.hash);
     const auto count = static_cast<std::uint64_t>(fronts);
     const std::uint64_t place = (shift % count + static_cast<std::uint64_t>(std::max(0, s.index))) % count;
-    return static_cast<double>(place) < many && server.sent.sum() + work <= all / many;
+    return static_cast<double>(place) < many && server.sent.sum + work <= all / many;
   }
 
   // ---- Health: ejects the failing and the slow, at most half of a group, and lets a trickle through.
@@ -809,15 +813,16 @@
         retries = std::min(kRetryStore, retries + 1.0);
         if (x.server != t.server) blame(x, s.notes != Notes::kAll, false);
       }
-      t.server->asked.add(false);
+      add(t.server->asked, false);
       t.server->served(now, work);
       if (!no_fill && o.note != Note::kJoined && t.source != t.server) t.source->served(now, work);
       if (o.note != Note::kHit && o.note != Note::kStale && o.note != Note::kJoined && t.source != t.server) {
-        t.source->sourced.add(false);
+        add(t.source->sourced, false);
         t.source->first_byte.add(o.first_byte > 0 ? static_cast<double>(o.first_byte) / kSecond
-                                                  : std::max(0.0, elapsed - work));
+                                                  : std::max(0.0, elapsed - work),
+                                 kSmooth);
       }
-      if (no_fill || s.notes == Notes::kNone) t.server->asked.slowness.add(elapsed / (work + kHandling));
+      if (no_fill || s.notes == Notes::kNone) t.server->asked.slowness.add(elapsed / (work + kHandling), kSmooth);
       return;
     }
     if (o.note == Note::kNoFillPlace) return;
@@ -830,15 +835,15 @@
         o.status == Status::kTimeout ||
         (s.notes != Notes::kAll && o.status != Status::kConnectFailed && o.status != Status::kReset);
     if (o.status == Status::kTimeout && !t.fill) {  // no fill was in it: that cache is slow
-      t.server->asked.add(true);
-      t.server->asked.slowness.add(elapsed / (work + kHandling));
+      add(t.server->asked, true);
+      t.server->asked.slowness.add(elapsed / (work + kHandling), kSmooth);
       return;
     }
     blame(t, unclear, source_fault);
   }
   static void blame(const Try& t, bool unclear, bool source_fault) {
-    if (source_fault || unclear) t.source->sourced.add(true, source_fault ? 1.0 : kUnclear);
-    if (!source_fault) t.server->asked.add(true, unclear ? kUnclear : 1.0);
+    if (source_fault || unclear) add(t.source->sourced, true, source_fault ? 1.0 : kUnclear);
+    if (!source_fault) add(t.server->asked, true, unclear ? kUnclear : 1.0);
   }
 };
 
@@ -856,6 +861,10 @@
 
 void Control::retune(const Settings& settings) { impl_->retune(settings); }
 
+Learned Control::learned() const { return impl_->learned(); }
+
+void Control::learn(const Learned& learned) { impl_->learn(learned); }
+
 void Control::request(Time now, const Request& request, Actions& out) {
   Impl& i = *impl_;
   i.drop(request.id);  // ids are never repeated; if one is, the older is over
--- a/src/facade/facade.cpp
+++ b/src/facade/facade.cpp
@@ -106,6 +106,9 @@
 
 void Facade::retune(const Settings& settings) { impl_->control.retune(settings); }
 
+Learned Facade::learned() const { return impl_->control.learned(); }
+void Facade::learn(const Learned& learned) { impl_->control.learn(learned); }
+
 Step Facade::pick(Time now, const Ask& ask) {
   impl_->open[ask.id] = {};
   Request r;
--- a/src/facade/facade.hpp
+++ b/src/facade/facade.hpp
@@ -17,6 +17,7 @@
 namespace anisewick {
 
 struct ClassSettings;
+struct Learned;
 struct Settings;
 
 struct Ask {
@@ -54,6 +55,9 @@
 
   // New settings, from the next request on; what was learned stays.
   void retune(const Settings& settings);
+  // What the decisions have learned; and, before the first request, what another process of this front had.
+  Learned learned() const;
+  void learn(const Learned& learned);
   Step pick(Time now, const Ask& ask);
   Step report(Time now, std::uint64_t id, const Report& report);
   // What has come up by itself, of any requests.
--- a/src/handover/state.cpp
+++ b/src/handover/state.cpp
@@ -1,14 +1,11 @@
 #include "handover/state.hpp"
 
-#define XXH_INLINE_ALL
-#include <xxhash.h>
-
 #include <algorithm>
-#include <charconv>
 #include <map>
 #include <tuple>
 
 #include "depot/fields.hpp"
+#include "handover/sealed.hpp"
 
 namespace anisewick::handover {
 namespace {
@@ -19,26 +16,6 @@
 constexpr int kVersion = 1;
 constexpr std::size_t kMostRunners = 16;
 
-std::vector<std::string_view> words_of(std::string_view line) {
-  std::vector<std::string_view> words;
-  while (!line.empty()) {
-    const std::size_t end = std::min(line.find(' '), line.size());
-    words.push_back(line.substr(0, end));
-    line.remove_prefix(std::min(end + 1, line.size()));
-  }
-  return words;
-}
-std::string_view next_line(std::string_view& bytes) {
-  const std::size_t end = bytes.find('\n');
-  const std::string_view line = bytes.substr(0, end);
-  bytes.remove_prefix(end == std::string_view::npos ? bytes.size() : end + 1);
-  return line;
-}
-std::string hex(std::uint64_t n) {
-  char text[16];
-  const auto r = std::to_chars(text, text + sizeof text, n, 16);
-  return {text, r.ptr};
-}
 bool flag(std::string_view text, bool& value) {
   value = text == "1";
   return value || text == "0";
@@ -84,34 +61,20 @@
     body += "runner " + hex(r.incarnation) + " " + std::to_string(r.started_ms) + " " +
             std::to_string(r.ready) + "\n";
   }
-  std::string head(kWhat);
-  head += " " + std::to_string(kVersion) + " " + std::to_string(body.size()) + " " +
-          hex(XXH3_64bits(body.data(), body.size())) + " " + state.name + "\n";
-  return head + body;
+  return sealed(kWhat, kVersion, state.name, body);
 }
 
 std::optional<State> decode(std::string_view bytes, std::string_view name, std::string& why) {
-  const auto bad = [&](const char* what) {
-    why = what;
-    return std::nullopt;
-  };
-  const std::string_view head = next_line(bytes);
-  const std::size_t at = head.find(' ', head.find(' ', head.find(' ', head.find(' ') + 1) + 1) + 1);
-  if (at == std::string_view::npos) return bad("it is no state file");
-  const auto w = words_of(head.substr(0, at));
-  int version = 0;
-  std::size_t size = 0;
-  std::uint64_t sum = 0;
-  if (w.size() != 4 || w[0] != kWhat || !number(w[1], version)) return bad("it is no state file");
-  if (version != kVersion) return bad("it is of another version");
-  if (!number(w[2], size) || size != bytes.size() || !number(w[3], sum, 16) ||
-      sum != XXH3_64bits(bytes.data(), bytes.size()))
-    return bad("it is torn");
-  if (head.substr(at + 1) != name) return bad("it is another doorman's");
+  const auto body = opened(bytes, kWhat, kVersion, name, why);
+  if (!body) return std::nullopt;
+  bytes = *body;
   State state;
   state.name = name;
   while (!bytes.empty()) {
-    if (!line_into(state, words_of(next_line(bytes)))) return bad("it has a line that cannot be read");
+    if (!line_into(state, words_of(next_line(bytes)))) {
+      why = "it has a line that cannot be read";
+      return std::nullopt;
+    }
   }
   return state;
 }
--- a/src/lifecycle/lifecycle.cpp
+++ b/src/lifecycle/lifecycle.cpp
@@ -13,7 +13,7 @@
 // All is in that a request's decisions need. One that takes over from another also waits for the bus, which
 // tells what came since the configuration was written; but not for ever for a bus that is away.
 bool Life::awake(Time now) const {
-  if (!listed_ || !handed_over_) return false;
+  if (!listed_ || (!handed_over_ && now - started_ < kLeftPatience)) return false;
   return !predecessor_ || caught_up_ || now - started_ >= kBusPatience;
 }
 
@@ -43,7 +43,8 @@
     case Phase::kStarting:
       // On a socket of one's own those who come early find out by asking; a shared one is left to the others.
       duty.accept = !shared_;
-      if (listed_ && handed_over_) from(started_ + kBusPatience);
+      if (listed_) from(started_ + (handed_over_ ? kBusPatience : kLeftPatience));
+      if (listed_ && now - started_ >= kLeftPatience) from(started_ + kBusPatience);
       break;
     case Phase::kServing:
       duty.ready = duty.accept = true;
--- a/src/lifecycle/lifecycle.hpp
+++ b/src/lifecycle/lifecycle.hpp
@@ -29,6 +29,7 @@
 constexpr Time kMostDeadline = 3'000 * kMs;
 constexpr Time kKillAfter = 700 * kMs, kKillMargin = 150 * kMs, kLastWhile = 200 * kMs;
 // How long one that takes over waits for news of the event bus that it cannot reach.
+constexpr Time kLeftPatience = 400 * kMs;  // and for what the one before has learned
 constexpr Time kBusPatience = 1'500 * kMs;
 
 // After that long what the one before has left to do no longer counts against the whole.
--- a/src/service/service.cpp
+++ b/src/service/service.cpp
@@ -8,6 +8,9 @@
 #include <random>
 #include <utility>
 
+#include "anisewick/learned.hpp"
+#include "handover/learned.hpp"
+
 namespace anisewick::service {
 namespace {
 
@@ -16,7 +19,7 @@
 constexpr std::size_t kShared = 2;
 constexpr auto kWatch = std::chrono::milliseconds(50);  // between two looks at what other processes were told
 constexpr auto kBusTells = std::chrono::milliseconds(150);  // so long the bus takes to tell what it has
-constexpr lifecycle::Time kLastWrite = 100'000'000;  // to write the last answers
+constexpr lifecycle::Time kLastWrite = 100'000'000;         // to write the last answers
 constexpr auto kLookAgain = std::chrono::milliseconds(10);
 constexpr std::int64_t kMs = 1'000'000;
 constexpr lifecycle::Time kMostDeadline = 3'600'000 * kMs;  // more is no figure to wait by
@@ -76,13 +79,14 @@
   if (around_.descriptor && !around_.folder.empty()) {
     std::random_device random;
     const auto incarnation = static_cast<std::uint64_t>(random()) << 32 | random();
-    folder_.emplace(around_.folder, c.name, incarnation, unix_ms(),
+    started_ms_ = unix_ms();
+    folder_.emplace(around_.folder, c.name, incarnation, started_ms_,
                     [](const std::string& line) { std::cerr << "anisewick: " << line << std::endl; });
     publish();
     take_in(folder_->look());
   }
   for (const bus::Event& event : c.known) heed(event);
-  life_.handed_over();
+  if (!folder_ || !handover::others(folder_->look(), folder_->incarnation()).before) life_.handed_over();
   tune();
 }
 
@@ -219,11 +223,37 @@
   const handover::Others others = handover::others(state, folder_->incarnation());
   life_.predecessor(others.before);
   life_.successor(others.after);
+  if (std::exchange(left_, others.starting) != others.starting && others.starting) leave_learned();
   if (running_) attend();
 }
 
+// For the one that is starting: it takes the list, the calls and the bus's news before any of it.
+void Service::leave_learned() {
+  const std::string bytes = handover::encode_learned(facade_.learned(), config_.name, unix_ms());
+  if (bytes.size() <= handover::kMostLearned) folder_->leave(bytes);
+}
+
+void Service::take_learned() {
+  if (announced_ || taken_) return;
+  std::string why;
+  const std::string bytes = folder_->left_by_others(handover::kMostLearned);
+  if (bytes.empty()) return;
+  const auto dated = handover::decode_learned(bytes, config_.name, why);
+  // One that was left for another, earlier process is too old.
+  if (dated && dated->at_ms < started_ms_) return;
+  taken_ = true;
+  if (dated) {
+    facade_.learn(dated->learned);
+  } else {
+    std::cerr << "anisewick: what the process before had learned is not taken: " << why << std::endl;
+  }
+  life_.handed_over();
+  attend();
+}
+
 void Service::look() {
   if (folder_ && folder_->changed()) take_in(folder_->look());
+  if (folder_) take_learned();
 }
 
 void Service::watch() {
--- a/src/service/service.hpp
+++ b/src/service/service.hpp
@@ -53,6 +53,8 @@
   void look();
   void take_in(const handover::State& state);
   void watch();
+  void leave_learned();
+  void take_learned();
   bool publish();
   void end();
   door::Verdict called(const door::Call& call);
@@ -72,7 +74,8 @@
   lifecycle::Life life_;
   std::optional<handover::Folder> folder_;  // where another process may take over
   handover::Drain drain_;                   // the operators' last word
-  bool announced_ = false, half_ = false;
+  bool announced_ = false, half_ = false, left_ = false, taken_ = false;
+  std::int64_t started_ms_ = 0;  // Unix time
   net::BusClient bus_;
   std::optional<net::Reports> reports_;
   door::Door door_;
--- a/tests/daily_test.cpp
+++ b/tests/daily_test.cpp
@@ -15,6 +15,8 @@
 #include "door/calls.hpp"
 #include "generations/generations.hpp"
 #include "handover/folder.hpp"
+#include "handover/learned.hpp"
+#include "handover/sealed.hpp"
 #include "handover/state.hpp"
 #include "holds/holds.hpp"
 #include "lifecycle/lifecycle.hpp"
@@ -584,3 +586,54 @@
     CHECK(first->left_by_others(100).empty());
   }
 }
+
+TEST_CASE("what was learned is read as it was written, and figures that cannot be are not taken") {
+  const std::uint32_t seed = std::random_device{}();
+  INFO("seed " << seed);
+  std::mt19937_64 random(seed);
+  const auto real = [&] { return static_cast<double>(random() % 1'000'000) / 7919.0; };
+  const auto whole = [&] { return static_cast<std::int64_t>(random() >> 2); };
+  std::string bytes, why;
+  for (int round = 0; round < 50; ++round) {
+    Learned l;
+    l.links_late = real();
+    l.retries = real();
+    l.origin = {real(), real(), real(), real(), whole(), whole(), whole(), whole()};
+    for (int i = 0; i < 20; ++i) {
+      Learned::Of of;
+      of.process = whole();
+      of.what.asked = {real(), {real(), random() % 2 == 0}, whole(), random() % 2 == 0};
+      of.what.first_byte = {real(), true};
+      of.what.crowd.limit = real();
+      of.what.rate = real();
+      of.what.sent.add(10, 100, 1.5);
+      of.what.sent.add(500, 100, 2.25);  // the first is forgotten
+      l.servers["s-" + std::to_string(i)] = of;
+      l.objects.push_back({random(), static_cast<std::uint32_t>(random() | 1), random() % 2 == 0});
+    }
+    bytes = handover::encode_learned(l, "n1", 77);
+    const auto read = handover::decode_learned(bytes, "n1", why);
+    REQUIRE(read);
+    CHECK(read->at_ms == 77);
+    CHECK(read->learned.servers.at("s-3").what.sent.sum == 2.25);
+    REQUIRE(handover::encode_learned(read->learned, "n1", 77) == bytes);
+    CHECK_FALSE(handover::decode_learned(bytes, "n2", why));
+    for (int i = 0; i < 40; ++i)
+      REQUIRE_FALSE(handover::decode_learned(bytes.substr(0, random() % bytes.size()), "n1", why));
+  }
+  const std::string fine = bytes.substr(bytes.find('\n') + 1);
+  const std::vector<std::pair<std::string, std::string>> bad{
+      {"all 77 ", "all -77 "},          {"all 77 ", "all nan "},
+      {"all 77 ", "all 77 1e300 "},     {"object ", "object zz "},
+      {"server ", "severe "},           {"server s-0", "server s-1"},
+      {"\nobject ", "\n\nobject "},     {"all ", ""},
+      {"sent s-0 500", "sent s-77 500"}};
+  for (const auto& [from, to] : bad) {
+    std::string body = fine;
+    REQUIRE(body.find(from) != std::string::npos);
+    body.replace(body.find(from), from.size(), to);
+    INFO(from << " as " << to);
+    CHECK_FALSE(handover::decode_learned(handover::sealed("anisewick-learned", 1, "n1", body), "n1", why));
+    CHECK(why == "it has figures that cannot be");
+  }
+}
--- a/tests/facade_test.cpp
+++ b/tests/facade_test.cpp
@@ -2,6 +2,7 @@
 #define CATCH_CONFIG_MAIN
 #include "facade/facade.hpp"
 
+#include <algorithm>
 #include <catch2/catch.hpp>
 #include <string>
 
@@ -164,3 +165,58 @@
     CHECK(facade.pick(kStart + 40 * kMs, ask(2, 3)).what == What::kSend);
   }
 }
+
+// What one process has learned serves the next: what is hot, and who is out; but not of another process of a
+// depot, nor of one that is not listed, and the list goes before it.
+TEST_CASE("A front that takes over starts with what was learned") {
+  Facade old(settings());
+  old.heed(kStart, list());
+  Time now = kStart;
+  std::uint64_t id = 1;
+  const auto ask_at = [&](std::uint64_t object) {
+    Ask a = ask(0, ++id);
+    a.object = object;
+    a.give_up_at = now + 2000 * kMs;
+    return a;
+  };
+  // Depot 1 fails whatever it is asked, depot 2 serves; one object is hot.
+  for (int n = 0; n < 400; ++n, now += 20 * kMs) {
+    const Ask a = ask_at(n % 2 == 0 ? 0xabc : 0x1000u + static_cast<unsigned>(n));
+    Step step = old.pick(now, a);
+    for (int tries = 0; step.what == What::kSend && tries < 8; ++tries) {
+      step = old.report(now + 5 * kMs, a.id, step.depot == 1 ? Report{End::kReset, 0, 0} : Report{End::kServed, 1, 0});
+    }
+  }
+  const Learned learned = old.learned();
+  CHECK(learned.servers.at("s-00000001").what.asked.out);
+  CHECK(std::any_of(learned.objects.begin(), learned.objects.end(),
+                    [](const Counted& c) { return c.key == 0xabc && c.admitted; }));
+
+  const auto first_choices = [&](Facade& facade) {
+    int bad = 0;
+    for (int n = 0; n < 30; ++n, now += kMs) {
+      const Ask a = ask_at(0x9000u + static_cast<unsigned>(n));
+      const Step step = facade.pick(now, a);
+      bad += step.what == What::kSend && step.depot == 1;
+      facade.gone(now, a.id);
+    }
+    return bad;
+  };
+  Facade knows(settings()), ignorant(settings()), restarted(settings()), drained(settings());
+  for (Facade* f : {&knows, &ignorant}) f->heed(now, list());
+  knows.learn(learned);
+  CHECK(knows.pick(now, ask_at(0xabc)).rank == 2);
+  CHECK(ignorant.pick(now, ask_at(0xabc)).rank < 2);
+  CHECK(first_choices(knows) <= 1);  // a trial
+  CHECK(first_choices(ignorant) > 5);
+  bus::Event other = list();
+  other.depots[0].started_ms = 5;  // another process: nothing is held against it
+  restarted.heed(now, other);
+  restarted.learn(learned);
+  CHECK(first_choices(restarted) > 5);
+  bus::Event without = list();
+  without.depots[1].state = bus::State::kDraining;
+  drained.heed(now, without);
+  drained.learn(learned);
+  for (int n = 0; n < 30; ++n) CHECK(drained.pick(now, ask_at(0xa000u + static_cast<unsigned>(n))).depot != 2);
+}
