--- a/src/lifecycle/lifecycle.hpp
+++ b/src/lifecycle/lifecycle.hpp
@@ -27,7 +27,7 @@
 // longer. What is still open shortly before is given up with an answer; what comes in the last while is
 // refused, for its answer would hardly come in time.
 constexpr Time kMostDeadline = 3'000 * kMs;
-constexpr Time kKillAfter = 700 * kMs, kKillMargin = 150 * kMs, kLastWhile = 200 * kMs;
+constexpr Time kKillAfter = 700 * kMs, kKillMargin = 100 * kMs, kLastWhile = 200 * kMs;
 // How long one that takes over waits for news of the event bus that it cannot reach.
 constexpr Time kLeftPatience = 400 * kMs;  // and for what the one before has learned
 constexpr Time kBusPatience = 1'500 * kMs;
