--- /dev/null
+++ b/tests/daily.hpp
@@ -0,0 +1,161 @@
+// A site whose program has a door and whose listening socket is handed down; callers, caches and clients for
+// it.
+#ifndef ANISEWICK_TESTS_DAILY_HPP_
+#define ANISEWICK_TESTS_DAILY_HPP_
+
+#include <atomic>
+#include <chrono>
+#include <cstdlib>
+#include <filesystem>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "peers.hpp"
+#include "site.hpp"
+
+namespace anisewick::peers {
+
+struct Folder {
+  Folder() {
+    char name[] = "/tmp/anisewick-test-XXXXXX";
+    path = ::mkdtemp(name);
+  }
+  ~Folder() { std::filesystem::remove_all(path); }
+  std::string path;
+};
+
+// A port that was free a moment ago.
+inline int free_port() { return Listener(false).port(); }
+
+// The status of one call, and its answer whole.
+struct Called {
+  int status = 0;
+  std::string text;
+  std::int64_t ms = 0;
+};
+inline Called call(int port, const std::string& method, const std::string& path,
+                   const std::string& more = "") {
+  const std::int64_t from = now_ms();
+  Stream s = Stream::to(port);
+  s.write(method + " " + path + " HTTP/1.1\r\nHost: ops\r\n" + (more.empty() ? "\r\n" : more));
+  Called c;
+  std::string line;
+  try {
+    c.status = std::stoi(s.line().substr(9, 3));
+    std::size_t length = 0;
+    while (!(line = s.line()).empty()) {
+      c.text += line + "\n";
+      if (line.starts_with("Content-Length: ")) length = std::stoul(line.substr(16));
+    }
+    c.text += s.take(length);
+  } catch (const std::exception&) {
+  }
+  c.ms = now_ms() - from;
+  return c;
+}
+
+// A site whose program has a door, and whose listening socket is handed down.
+struct Daily : Site {
+  Daily() : Site("", true, true, true) {}
+  Around around(int port) {
+    return {{{"RELAY_OPS", "127.0.0.1:" + std::to_string(port)}, {"TMPDIR", folder.path}}, front_fd()};
+  }
+  void start() { Site::start(around(door)); }
+  Called ops(const std::string& method, const std::string& path, int at = 0) {
+    return call(at == 0 ? door : at, method, path);
+  }
+  bool ready(int at) {
+    for (int i = 0; i < 2'000; ++i) {
+      try {
+        if (ops("GET", "/_ready", at).status == 200) return true;
+      } catch (const std::exception&) {  // it does not listen yet
+      }
+      std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+    return false;
+  }
+  Folder folder;
+  int door = free_port(), second_door = free_port();
+};
+
+inline Ask numbered(std::uint64_t n) {
+  Ask a;
+  a.id = hex16(0x1000u + n);
+  a.object = hex16(0xabc000u + n);
+  return a;
+}
+
+// Answers all that the caches hear, until it goes.
+class Serving {
+ public:
+  explicit Serving(Caches& caches)
+      : thread_([this, &caches] {
+          while (!over_) {
+            try {
+              const auto h = caches.next(20);
+              if (h && h->verb == "fetch") {
+                {
+                  const std::lock_guard hold(mutex_);
+                  ++asked_[h->depot];
+                  ++runs_[h->id];
+                }
+                h->say("DONE", "remark=hit", "whole");
+              }
+            } catch (const std::exception&) {  // a process died in the middle of a line
+            }
+          }
+        }) {}
+  ~Serving() {
+    over_ = true;
+    thread_.join();
+  }
+  int asked(std::size_t depot) {
+    const std::lock_guard hold(mutex_);
+    return asked_[depot];
+  }
+
+ private:
+  std::atomic<bool> over_ = false;
+  std::mutex mutex_;
+  std::map<std::size_t, int> asked_;
+  std::map<std::string, int> runs_;
+  std::thread thread_;
+};
+
+// A client that asks one after another on connections it keeps, as a web server does: where one was closed
+// with nothing of the answer, it asks once more on a new one.
+struct Tally {
+  int served = 0, again = 0, lost = 0, refused = 0;
+};
+inline Tally ask_on(Site& site, std::uint64_t from, const std::function<bool()>& enough) {
+  Tally tally;
+  std::optional<Stream> s;
+  for (std::uint64_t n = from; !enough(); ++n) {
+    for (int attempt = 0;; ++attempt) {
+      try {
+        if (!s) s = site.client();
+        s->write(request(1, numbered(n)));
+        const Answer a = answer(*s);
+        ++(a.body == "whole" ? tally.served : a.has("503") ? tally.refused : tally.lost);
+        break;
+      } catch (const std::exception&) {
+        s.reset();
+        if (attempt == 1) {
+          ++tally.lost;
+          break;
+        }
+        ++tally.again;
+      }
+    }
+  }
+  return tally;
+}
+
+}  // namespace anisewick::peers
+
+#endif  // ANISEWICK_TESTS_DAILY_HPP_
