--- a/src/handover/folder.cpp
+++ b/src/handover/folder.cpp
@@ -14,6 +14,8 @@
 #include <thread>
 #include <utility>
 
+#include "depot/fields.hpp"
+
 namespace anisewick::handover {
 namespace {
 
@@ -67,7 +69,7 @@
 Folder::~Folder() {
   // In this order: who finds the file finds it locked.
   if (alive_ >= 0) ::unlink(path(name_of(self_.incarnation) + ".alive").c_str());
-  ::unlink(path(name_of(self_.incarnation) + ".left").c_str());
+  clear();
   if (alive_ >= 0) ::close(alive_);
   if (gate_ >= 0) ::close(gate_);
 }
@@ -173,12 +175,17 @@
 
 bool Folder::leave(std::string_view bytes) { return write(name_of(self_.incarnation) + ".left", bytes); }
 
+void Folder::clear() { ::unlink(path(name_of(self_.incarnation) + ".left").c_str()); }
+
 std::string Folder::left_by_others(std::size_t most) const {
   std::error_code error;
   for (const auto& entry : std::filesystem::directory_iterator(directory_, error)) {
+    // anisewick.INCARNATION.left
     const std::string name = entry.path().filename().string();
-    if (!name.starts_with("anisewick.") || !name.ends_with(".left") ||
-        name == "anisewick." + name_of(self_.incarnation) + ".left")
+    std::uint64_t incarnation = 0;
+    if (name.size() != 31 || !name.starts_with("anisewick.") || !name.ends_with(".left") ||
+        !depot::number(std::string_view(name).substr(10, 16), incarnation, 16) ||
+        incarnation == self_.incarnation || !lives(incarnation))
       continue;
     if (auto bytes = bytes_of(entry.path().string(), most); bytes && bytes->size() <= most) return *bytes;
   }
--- a/src/handover/folder.hpp
+++ b/src/handover/folder.hpp
@@ -38,7 +38,8 @@
 
   // A larger value that one process leaves for the next, whole or not at all.
   bool leave(std::string_view bytes);
-  // That of any other process; empty where there is none.
+  void clear();  // nobody starts any more
+  // That of another process that lives; empty where there is none.
   std::string left_by_others(std::size_t most) const;
 
  private:
--- a/src/lifecycle/lifecycle.cpp
+++ b/src/lifecycle/lifecycle.cpp
@@ -70,6 +70,7 @@
         // One that was told to empty goes on emptying.
         if (duck_at_) empty(*duck_at_ + kFrontHears, *duck_at_ + kRefuseAfter);
       }
+      duty.refuse = duty.refuse || duty.must_end;
       break;
     }
   }
--- a/src/service/service.cpp
+++ b/src/service/service.cpp
@@ -86,6 +86,7 @@
     take_in(folder_->look());
   }
   for (const bus::Event& event : c.known) heed(event);
+  config_.known.clear();
   if (!folder_ || !handover::others(folder_->look(), folder_->incarnation()).before) life_.handed_over();
   tune();
 }
@@ -178,7 +179,8 @@
   settings.fall_multiple /= static_cast<double>(parts);
   settings.parent_fall_multiple /= static_cast<double>(parts);
   facade_.retune(settings);
-  life_.longest_deadline(longest_deadline(settings));
+  // Of the classes in force: a dropped one's may be longer than we are given at the end.
+  life_.longest_deadline(longest_deadline(config_.settings));
   config::Config c;
   c.sockets = config_.sockets / parts;
   c.memory_mb = config_.memory_mb / parts;
@@ -223,7 +225,9 @@
   const handover::Others others = handover::others(state, folder_->incarnation());
   life_.predecessor(others.before);
   life_.successor(others.after);
-  if (std::exchange(left_, others.starting) != others.starting && others.starting) leave_learned();
+  if (std::exchange(left_, others.starting) != others.starting) {
+    others.starting ? leave_learned() : folder_->clear();
+  }
   if (running_) attend();
 }
 
--- a/tests/daily_test.cpp
+++ b/tests/daily_test.cpp
@@ -267,7 +267,7 @@
                  {1'099, "", "ra----"},
                  {1'100, "", "----e-"},
                  {1'200, "term", "----e-"},
-                 {3'700, "", "----e!"}});
+                 {3'700, "", "---xe!"}});
   }
   SECTION("the longest deadline moves the end, as 3 s if it is longer") {
     play(false, {{0, "handed", "-a----"},
@@ -275,13 +275,13 @@
                  {5, "long", "ra----"},
                  {100, "term", "ra----"},
                  {3'699, "", "----e-"},
-                 {3'700, "", "----e!"}});
+                 {3'700, "", "---xe!"}});
     play(false, {{0, "handed", "-a----"},
                  {1, "listed", "ra----"},
                  {5, "short", "ra----"},
                  {100, "term", "ra----"},
                  {2'699, "", "----e-"},
-                 {2'700, "", "----e!"}});
+                 {2'700, "", "---xe!"}});
   }
   SECTION("SIGTERM in a drain") {
     play(false, {{0, "handed", "-a----"},
@@ -584,6 +584,9 @@
     CHECK(second->left_by_others(100) == "what was learned");
     CHECK(second->left_by_others(3).empty());
     CHECK(first->left_by_others(100).empty());
+    std::ofstream(folder.path + "/anisewick.00000000000000aa.left") << "of one that was killed";
+    first->clear();
+    CHECK(second->left_by_others(100).empty());
   }
 }
 
