--- a/include/anisewick/control.hpp
+++ b/include/anisewick/control.hpp
@@ -178,8 +178,8 @@
   // New settings: for what comes after. The places of the classes are the same, more may follow; what was
   // learned stays. Requests that carry no terms of their own get the new ones.
   void retune(const Settings& settings);
-  // What was learned so far; and, before the first request, what another process of this front had learned. The
-  // list, purges and what was seen here go before it.
+  // What was learned so far; and, before the first request, what another process of this front had learned.
+  // The list, purges and what was seen here go before it.
   Learned learned() const;
   void learn(const Learned& learned);
   void request(Time now, const Request& request, Actions& out);
--- a/src/control.cpp
+++ b/src/control.cpp
@@ -394,8 +394,8 @@
     std::erase_if(servers, [&](const auto& kv) { return !kv.second.listed && !named.contains(&kv.second); });
   }
 
-  // ---- What is learned, for a further process of this front, and taken by one that knows nothing yet. The list
-  // goes before it: nothing is taken of a server that is not listed, or of another process of it.
+  // ---- What is learned, for a further process of this front, and taken by one that knows nothing yet. The
+  // list goes before it: nothing is taken of a server that is not listed, or of another process of it.
   Learned learned() const {
     Learned all{{}, hotness.hottest(), from_origin, links_late, retries};
     for (const auto& [id, server] : servers) {
@@ -828,7 +828,8 @@
                                                   : std::max(0.0, elapsed - work),
                                  kSmooth);
       }
-      if (no_fill || s.notes == Notes::kNone) t.server->asked.slowness.add(elapsed / (work + kHandling), kSmooth);
+      if (no_fill || s.notes == Notes::kNone)
+        t.server->asked.slowness.add(elapsed / (work + kHandling), kSmooth);
       return;
     }
     if (o.note == Note::kNoFillPlace) return;
--- a/tests/facade_test.cpp
+++ b/tests/facade_test.cpp
@@ -184,7 +184,8 @@
     const Ask a = ask_at(n % 2 == 0 ? 0xabc : 0x1000u + static_cast<unsigned>(n));
     Step step = old.pick(now, a);
     for (int tries = 0; step.what == What::kSend && tries < 8; ++tries) {
-      step = old.report(now + 5 * kMs, a.id, step.depot == 1 ? Report{End::kReset, 0, 0} : Report{End::kServed, 1, 0});
+      step = old.report(now + 5 * kMs, a.id,
+                        step.depot == 1 ? Report{End::kReset, 0, 0} : Report{End::kServed, 1, 0});
     }
   }
   const Learned learned = old.learned();
@@ -218,11 +219,13 @@
   without.depots[1].state = bus::State::kDraining;
   drained.heed(now, without);
   drained.learn(learned);
-  for (int n = 0; n < 30; ++n) CHECK(drained.pick(now, ask_at(0xa000u + static_cast<unsigned>(n))).depot != 2);
+  for (int n = 0; n < 30; ++n)
+    CHECK(drained.pick(now, ask_at(0xa000u + static_cast<unsigned>(n))).depot != 2);
 }
 
-// At most half of a location's depots are left out for failing. One that refuses connections, time after time, is
-// passed over all the same: else every request that it is home to costs one of the few further attempts.
+// At most half of a location's depots are left out for failing. One that refuses connections, time after
+// time, is passed over all the same: else every request that it is home to costs one of the few further
+// attempts.
 TEST_CASE("A depot that refuses connections in a row is passed over, however many others are out") {
   Facade facade(settings());
   bus::Event three = list();
@@ -239,7 +242,9 @@
     Step step = facade.pick(now, a);
     if (n >= 200) first_at_2 += step.depot == 2;
     for (int tries = 0; step.what == What::kSend && tries < 8; ++tries) {
-      const End end = step.depot == 1 ? End::kReset : step.depot == 2 && n >= 100 ? End::kUnreached : End::kServed;
+      const End end = step.depot == 1               ? End::kReset
+                      : step.depot == 2 && n >= 100 ? End::kUnreached
+                                                    : End::kServed;
       step = facade.report(now + kMs, a.id, {end, end == End::kServed ? 1 : 0, 0});
     }
   }
