--- a/src/control.cpp
+++ b/src/control.cpp
@@ -38,7 +38,6 @@
 constexpr int kMostErrors = 3;     // of one request, after which it is the request that cannot be served
 constexpr std::size_t kMaxServers = 4096;  // known ones, before the gone are forgotten
 constexpr Time kTrial = 500 * kMs;    // one attempt in this time finds out whether an ejected one recovered
-constexpr int kDead = 3;  // connections in a row that did not come up; however many others are out
 constexpr double kColdMargin = 0.7;   // share of a cold budget that is used
 constexpr double kRateMemory = 10.0;  // seconds over which a warm server's usual load is remembered
 constexpr double kRetryShare = 0.1;   // further attempts a request may cost, on average
@@ -206,8 +205,6 @@
   std::uint64_t hash = 0;
   bool listed = false;
   double open = 0.0;  // work that this front has out there
-  int refused = 0;    // connections in a row that did not come up, and when the last one
-  Time refused_at = 0;
 
   bool up() const { return listed && m.state == State::kUp; }
   void served(Time now, double work) {  // asked-for work would overstate what a crowded server can do
@@ -568,8 +565,7 @@
     for (const auto& [score, server] : order) {
       if (!may_send(h, *server, now) || !fits(*server, now, mean_work(h.r))) continue;
       if (!tried(h, server)) {
-        const bool dead = server->refused >= kDead && now < server->refused_at + kTrial;
-        if (!dead && usable(*server, &Server::asked, caches, now)) {
+        if (usable(*server, &Server::asked, caches, now)) {
           // Bounded load: an object too hot for one cache goes to the next ones too. Also meets a cache that
           // became slow before health shows it. Costs a second copy where it acts.
           const double part = kCrowd * open * scale_of(*server) / scales + kCrowdSlack * mean_work(h.r);
@@ -736,8 +732,6 @@
     const bool answer = o.status != Status::kTimeout && o.status != Status::kCancelled &&
                         o.status != Status::kMoot && o.status != Status::kConnectFailed;
     if (answer) t.server->answered = now;
-    if (answer) t.server->refused = 0;
-    if (o.status == Status::kConnectFailed) ++t.server->refused, t.server->refused_at = now;
     learn(now, h, t, o);
     if (o.closed) return drop(o.id);
     if (o.status == Status::kMiss && !t.fill) return finish(h, out, Why::kCrowdedFills);
