Move membership and peers under src/fleet

The fleet becomes a floor of its own: all that concerns many processes lives under src/fleet, so the two packages that were begun move there. The tests of both pass as before.

--- a/src/membership/asking.cpp
+++ b/src/fleet/membership/asking.cpp
@@ -1,4 +1,4 @@
-#include "membership/asking.hpp"
+#include "fleet/membership/asking.hpp"
 
 #include <algorithm>
 #include <bit>
--- a/src/membership/asking.hpp
+++ b/src/fleet/membership/asking.hpp
@@ -6,8 +6,8 @@
 // itself is not asked: two newcomers would teach one another what neither knows. Suspects are not asked. Who
 // failed is asked again after a pause that doubles, with jitter, within a budget of tries and a time; then
 // the newcomer goes on alone.
-#ifndef ANISEWICK_MEMBERSHIP_ASKING_HPP_
-#define ANISEWICK_MEMBERSHIP_ASKING_HPP_
+#ifndef ANISEWICK_FLEET_MEMBERSHIP_ASKING_HPP_
+#define ANISEWICK_FLEET_MEMBERSHIP_ASKING_HPP_
 
 #include <cstdint>
 #include <optional>
@@ -15,7 +15,7 @@
 #include <string>
 #include <unordered_map>
 
-#include "membership/swim.hpp"
+#include "fleet/membership/swim.hpp"
 
 namespace anisewick::membership {
 
@@ -71,4 +71,4 @@
 
 }  // namespace anisewick::membership
 
-#endif  // ANISEWICK_MEMBERSHIP_ASKING_HPP_
+#endif  // ANISEWICK_FLEET_MEMBERSHIP_ASKING_HPP_
--- a/src/membership/swim.cpp
+++ b/src/fleet/membership/swim.cpp
@@ -1,4 +1,4 @@
-#include "membership/swim.hpp"
+#include "fleet/membership/swim.hpp"
 
 #include <algorithm>
 #include <cmath>
--- a/src/membership/swim.hpp
+++ b/src/fleet/membership/swim.hpp
@@ -7,8 +7,8 @@
 // time, pings through a few others. Who answers neither is suspected, and dead if nobody hears of it in time.
 // News travels on these messages, each a bounded number of times, and the room that is left carries the table
 // itself in turns, so that what was missed, also by a partition, is told in the end.
-#ifndef ANISEWICK_MEMBERSHIP_SWIM_HPP_
-#define ANISEWICK_MEMBERSHIP_SWIM_HPP_
+#ifndef ANISEWICK_FLEET_MEMBERSHIP_SWIM_HPP_
+#define ANISEWICK_FLEET_MEMBERSHIP_SWIM_HPP_
 
 #include <cstddef>
 #include <cstdint>
@@ -156,4 +156,4 @@
 
 }  // namespace anisewick::membership
 
-#endif  // ANISEWICK_MEMBERSHIP_SWIM_HPP_
+#endif  // ANISEWICK_FLEET_MEMBERSHIP_SWIM_HPP_
--- a/src/peers/datagram.cpp
+++ b/src/fleet/peers/datagram.cpp
@@ -1,4 +1,4 @@
-#include "peers/datagram.hpp"
+#include "fleet/peers/datagram.hpp"
 
 #include <cstdint>
 #include <utility>
--- a/src/peers/datagram.hpp
+++ b/src/fleet/peers/datagram.hpp
@@ -4,15 +4,15 @@
 // message = kind:1 sequence:4 peer target:6 target_name news:1 (peer state:1 by)*
 // peer    = name gossip:6 snapshots:6 incarnation:8 up:4          name, by = length:1 bytes, at most
 // kMostName
-#ifndef ANISEWICK_PEERS_DATAGRAM_HPP_
-#define ANISEWICK_PEERS_DATAGRAM_HPP_
+#ifndef ANISEWICK_FLEET_PEERS_DATAGRAM_HPP_
+#define ANISEWICK_FLEET_PEERS_DATAGRAM_HPP_
 
 #include <cstddef>
 #include <optional>
 #include <string>
 #include <string_view>
 
-#include "membership/swim.hpp"
+#include "fleet/membership/swim.hpp"
 
 namespace anisewick::peers {
 
@@ -25,4 +25,4 @@
 
 }  // namespace anisewick::peers
 
-#endif  // ANISEWICK_PEERS_DATAGRAM_HPP_
+#endif  // ANISEWICK_FLEET_PEERS_DATAGRAM_HPP_
--- a/src/peers/seal.cpp
+++ b/src/fleet/peers/seal.cpp
@@ -1,4 +1,4 @@
-#include "peers/seal.hpp"
+#include "fleet/peers/seal.hpp"
 
 #include <openssl/crypto.h>
 #include <openssl/evp.h>
--- a/src/peers/seal.hpp
+++ b/src/fleet/peers/seal.hpp
@@ -3,8 +3,8 @@
 // I/O, no clock; one thread. Times are Unix milliseconds.
 //
 // sealed = version:1 key:1 session:8 number:8 time:8 payload mac:16, big-endian
-#ifndef ANISEWICK_PEERS_SEAL_HPP_
-#define ANISEWICK_PEERS_SEAL_HPP_
+#ifndef ANISEWICK_FLEET_PEERS_SEAL_HPP_
+#define ANISEWICK_FLEET_PEERS_SEAL_HPP_
 
 #include <cstddef>
 #include <cstdint>
@@ -60,4 +60,4 @@
 
 }  // namespace anisewick::peers
 
-#endif  // ANISEWICK_PEERS_SEAL_HPP_
+#endif  // ANISEWICK_FLEET_PEERS_SEAL_HPP_
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -8,8 +8,8 @@
 #include <random>
 #include <set>
 
-#include "membership/asking.hpp"
-#include "membership/swim.hpp"
+#include "fleet/membership/asking.hpp"
+#include "fleet/membership/swim.hpp"
 
 using namespace anisewick::membership;
 
--- a/tests/peers_test.cpp
+++ b/tests/peers_test.cpp
@@ -3,8 +3,8 @@
 #include <catch2/catch.hpp>
 #include <random>
 
-#include "peers/datagram.hpp"
-#include "peers/seal.hpp"
+#include "fleet/peers/datagram.hpp"
+#include "fleet/peers/seal.hpp"
 
 using namespace anisewick;
 using namespace anisewick::peers;
