--- a/src/fleet/membership/swim.cpp
+++ b/src/fleet/membership/swim.cpp
@@ -72,10 +72,17 @@
   spread(self_.name);
 }
 
+void Swim::draining(bool on) {
+  if (on == self_.draining) return;
+  self_.draining = on;
+  ++self_.incarnation;
+  spread(self_.name);
+}
+
 void Swim::take(const News& news, std::int64_t now_ms) {
   const Peer& p = news.peer;
   const std::string& by = news.by;
-  if (p.name.empty() || p.name.size() > kMostName) return;
+  if (p.name.empty() || p.name.size() > kMostName || p.zone.size() > kMostName) return;
   if (p.name == self_.name) {
     if (news.state != State::kAlive && p.incarnation >= self_.incarnation) refute(p.incarnation);
     return;
--- a/src/fleet/membership/swim.hpp
+++ b/src/fleet/membership/swim.hpp
@@ -37,6 +37,8 @@
   // Grows with each refutation, and begins above all that an earlier process of this name can have used.
   std::uint64_t incarnation = 0;
   std::uint32_t up_s = 0;  // for how long it has run, when it said so
+  std::string zone = {};   // at most kMostName bytes; empty: none
+  bool draining = false;   // it takes nothing new upon it
 };
 
 enum class State : std::uint8_t { kAlive = 0, kSuspect = 1, kDead = 2, kLeft = 3 };
@@ -92,6 +94,9 @@
   // What a planned end tells a few others.
   std::vector<Out> leave(std::int64_t now_ms);
 
+  // Tells the others, as news of a higher incarnation.
+  void draining(bool on);
+
   const std::map<std::string, Member>& members() const { return members_; }
   std::size_t alive() const { return alive_; }  // others, suspects too
   const Peer& self() const { return self_; }
--- /dev/null
+++ b/src/fleet/orders/order.cpp
@@ -0,0 +1,97 @@
+#include "fleet/orders/order.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "talk.pb.h"
+
+namespace anisewick::orders {
+namespace {
+
+constexpr unsigned kShards = 16;
+
+std::string key(unsigned shard) { return std::string("holds.") + "0123456789abcdef"[shard]; }
+
+}  // namespace
+
+bool Entry::settles(const CallId& id) const {
+  return std::any_of(calls.begin(), calls.end(),
+                     [&](const CallId& c) { return c.origin == id.origin && c.serial >= id.serial; });
+}
+
+std::vector<Entry> Order::take(std::uint64_t from, std::uint64_t to, std::vector<Entry> entries, bool& gap) {
+  gap = from > upto_;
+  if (gap || to <= upto_) return {};
+  std::erase_if(entries, [&](const Entry& e) { return e.number <= upto_ || e.number > to; });
+  std::sort(entries.begin(), entries.end(),
+            [](const Entry& a, const Entry& b) { return a.number < b.number; });
+  for (const Entry& e : entries) {
+    const auto [it, fresh] = entries_.try_emplace(e.depot, e);
+    if (!fresh) {
+      by_number_.erase(it->second.number);
+      it->second = e;
+    }
+    by_number_[e.number] = e.depot;
+  }
+  upto_ = to;
+  return entries;
+}
+
+std::vector<Entry> Order::since(std::uint64_t from, std::size_t most, std::uint64_t& to) const {
+  std::vector<Entry> out;
+  to = upto_;
+  for (auto it = by_number_.upper_bound(from); it != by_number_.end(); ++it) {
+    if (out.size() == most) {
+      to = out.back().number;
+      break;
+    }
+    out.push_back(entries_.at(it->second));
+  }
+  return out;
+}
+
+const Entry* Order::of(depot::Id depot) const {
+  const auto it = entries_.find(depot);
+  return it == entries_.end() ? nullptr : &it->second;
+}
+
+std::string encode(const Shard& shard) {
+  wire::Shard s;
+  s.set_term(shard.term);
+  for (const Entry& e : shard.entries) {
+    auto& to = *s.add_entries();
+    to.set_depot(e.depot);
+    to.set_held(e.held);
+    to.set_number(e.number);
+    to.set_at_ms(e.at_ms);
+    for (const CallId& c : e.calls) {
+      auto& id = *to.add_calls();
+      id.set_origin(c.origin);
+      id.set_serial(c.serial);
+    }
+  }
+  return s.SerializeAsString();
+}
+
+std::optional<Shard> shard_from(const std::string& value) {
+  wire::Shard s;
+  if (!s.ParseFromString(value)) return std::nullopt;
+  Shard shard;
+  shard.term = s.term();
+  for (const auto& e : s.entries()) {
+    Entry entry{e.depot(), e.held(), e.number(), e.at_ms(), {}};
+    for (const auto& c : e.calls()) entry.calls.push_back({c.origin(), c.serial()});
+    shard.entries.push_back(std::move(entry));
+  }
+  return shard;
+}
+
+std::string key_of(depot::Id depot) { return key((depot * 2654435761u) >> 28 & (kShards - 1)); }
+
+std::vector<std::string> shard_keys() {
+  std::vector<std::string> keys;
+  for (unsigned i = 0; i < kShards; ++i) keys.push_back(key(i));
+  return keys;
+}
+
+}  // namespace anisewick::orders
--- a/src/fleet/peers/datagram.cpp
+++ b/src/fleet/peers/datagram.cpp
@@ -29,6 +29,8 @@
   put(out, p.snapshots);
   put(out, p.incarnation, 8);
   put(out, p.up_s, 4);
+  put(out, p.zone);
+  put(out, p.draining ? 1 : 0, 1);
 }
 
 // Takes values off the front; after the first that is not there all are 0 and `bad` is set.
@@ -69,6 +71,10 @@
     p.snapshots = address();
     p.incarnation = number(8);
     p.up_s = static_cast<std::uint32_t>(number(4));
+    p.zone = name();
+    const std::uint64_t draining = number(1);
+    p.draining = draining == 1;
+    bad = bad || draining > 1;
     bad = bad || p.name.empty();
     return p;
   }
--- a/src/fleet/peers/datagram.hpp
+++ b/src/fleet/peers/datagram.hpp
@@ -2,8 +2,8 @@
 // seal fit a packet that no usual network splits.
 //
 // message = kind:1 sequence:4 peer target:6 target_name news:1 (peer state:1 by)*
-// peer    = name gossip:6 snapshots:6 incarnation:8 up:4          name, by = length:1 bytes, at most
-// kMostName
+// peer    = name gossip:6 snapshots:6 incarnation:8 up:4 zone draining:1
+// name, by, zone = length:1 bytes, at most kMostName
 #ifndef ANISEWICK_FLEET_PEERS_DATAGRAM_HPP_
 #define ANISEWICK_FLEET_PEERS_DATAGRAM_HPP_
 
