--- a/src/door/calls.cpp
+++ b/src/door/calls.cpp
@@ -5,6 +5,8 @@
 #include <array>
 #include <utility>
 
+#include "depot/fields.hpp"
+
 namespace anisewick::door {
 namespace {
 
@@ -15,13 +17,18 @@
 struct Row {
   std::string_view method, path;
   Call::What what;
-  bool names_depot;  // the path goes on with a depot's id
+  enum class Then { kNothing, kDepot, kNames } then;  // how the path goes on
+  bool fleet = false;                                 // there only where there is a fleet
 };
-constexpr std::array<Row, 5> kRows{{{"GET", "/_ready", Call::What::kReady, false},
-                                    {"POST", "/_depots/detach/", Call::What::kDetach, true},
-                                    {"POST", "/_depots/attach/", Call::What::kAttach, true},
-                                    {"POST", "/_lameduck/on", Call::What::kDuckOn, false},
-                                    {"POST", "/_lameduck/off", Call::What::kDuckOff, false}}};
+using Then = Row::Then;
+constexpr std::array<Row, 7> kRows{{{"GET", "/_ready", Call::What::kReady, Then::kNothing},
+                                    {"POST", "/_depots/detach/", Call::What::kDetach, Then::kDepot},
+                                    {"POST", "/_depots/attach/", Call::What::kAttach, Then::kDepot},
+                                    {"POST", "/_lameduck/on", Call::What::kDuckOn, Then::kNothing},
+                                    {"POST", "/_lameduck/off", Call::What::kDuckOff, Then::kNothing},
+                                    {"GET", "/_fleet", Call::What::kFleet, Then::kNothing, true},
+                                    {"POST", "/_fleet/replace/", Call::What::kReplace, Then::kNames, true}}};
+constexpr std::size_t kMostName = 32;  // of a member
 
 std::string_view reason(int status) {
   switch (status) {
@@ -33,6 +40,8 @@
       return "Not Found";
     case 405:
       return "Method Not Allowed";
+    case 409:
+      return "Conflict";
     case 413:
       return "Content Too Large";
     case 431:
@@ -46,17 +55,29 @@
 
 }  // namespace
 
-Routed route(std::string_view method, std::string_view path) {
+Routed route(std::string_view method, std::string_view path, bool fleet) {
   Routed routed;
   for (const Row& row : kRows) {
-    if (row.names_depot ? !path.starts_with(row.path) : path != row.path) continue;
+    if (row.fleet && !fleet) continue;
+    if (row.then == Then::kNothing ? path != row.path : !path.starts_with(row.path)) continue;
     routed.call.what = row.what;
     if (method != row.method) {
       routed.status = 405;
       routed.allow = row.method;
       return routed;
     }
-    if (!row.names_depot) return routed;
+    if (row.then == Then::kNothing) return routed;
+    if (row.then == Then::kNames) {
+      std::string_view in = path.substr(row.path.size());
+      const std::string_view out = depot::cut(in, '/');
+      const auto is_name = [](std::string_view s) {
+        return !s.empty() && s.size() <= kMostName && s.find('/') == std::string_view::npos;
+      };
+      if (!is_name(out) || !is_name(in)) routed.status = 400;
+      routed.call.out = out;
+      routed.call.in = in;
+      return routed;
+    }
     const auto id = depot::id_from(path.substr(row.path.size()));
     routed.status = id ? 0 : 400;
     routed.call.depot = id.value_or(0);
--- a/src/door/calls.hpp
+++ b/src/door/calls.hpp
@@ -12,9 +12,10 @@
 namespace anisewick::door {
 
 struct Call {
-  enum class What { kReady, kDetach, kAttach, kDuckOn, kDuckOff };
+  enum class What { kReady, kDetach, kAttach, kDuckOn, kDuckOff, kFleet, kReplace };
   What what = What::kReady;
   depot::Id depot = 0;  // of detach and attach
+  std::string out, in;  // of kReplace: members' names
 };
 
 // What a method and a path ask for. `status` 0: `call` is good; else how it is turned down (400, 404, 405).
@@ -23,7 +24,8 @@
   Call call;
   std::string_view allow;  // of a 405: the method that would do
 };
-Routed route(std::string_view method, std::string_view path);
+// `fleet`: the calls of a doorman that belongs to one are there too.
+Routed route(std::string_view method, std::string_view path, bool fleet = false);
 
 // One call, its bytes split anywhere. What follows it on the connection is passed over.
 class CallReader {
--- a/src/door/door.cpp
+++ b/src/door/door.cpp
@@ -59,12 +59,13 @@
       case CallReader::State::kCall:
         break;
     }
-    const Routed routed = route(reader_.method(), reader_.path());
+    const Routed routed = route(reader_.method(), reader_.path(), door_.fleet_);
     if (routed.status == 0) return answer(door_.answer_(routed.call), {});
-    answer({routed.status, routed.status == 400   ? "a depot's id is s- and 8 hex digits"
-                           : routed.status == 405 ? "this path takes another method"
-                                                  : "there is no such call"},
-           routed.allow);
+    answer(
+        {routed.status, routed.status == 400   ? "a depot's id is s- and 8 hex digits, a member's name a word"
+                        : routed.status == 405 ? "this path takes another method"
+                                               : "there is no such call"},
+        routed.allow);
   }
   void answer(const Verdict& verdict, std::string_view allow) {
     answered_ = true;
@@ -87,8 +88,8 @@
   bool answered_ = false, closed_ = false;
 };
 
-Door::Door(asio::io_context& io, Answerer answer)
-    : io_(io), answer_(std::move(answer)), acceptor_(io), again_(io) {}
+Door::Door(asio::io_context& io, Answerer answer, bool fleet)
+    : io_(io), answer_(std::move(answer)), fleet_(fleet), acceptor_(io), again_(io) {}
 Door::~Door() = default;
 
 void Door::listen(const Tcp::endpoint& at, Error& error) {
--- a/src/door/door.hpp
+++ b/src/door/door.hpp
@@ -30,7 +30,8 @@
   // Connections held at once, out of the descriptors of the program.
   static constexpr std::size_t kConnections = 16;
 
-  Door(asio::io_context& io, Answerer answer);
+  // `fleet`: with the calls of a doorman that belongs to one.
+  Door(asio::io_context& io, Answerer answer, bool fleet = false);
   ~Door();
   void listen(const links::Tcp::endpoint& at, links::Error& error);
   // No further calls; those under way end.
@@ -43,6 +44,7 @@
 
   asio::io_context& io_;
   Answerer answer_;
+  const bool fleet_;
   Tally tally_;
   links::Tcp::acceptor acceptor_;
   asio::steady_timer again_;
--- a/src/fleet/member/member.cpp
+++ b/src/fleet/member/member.cpp
@@ -499,7 +499,10 @@
   if (now_ms < next_find_ms_) return;
   next_find_ms_ = now_ms + kFindMs / 2 + static_cast<std::int64_t>(random_() % kFindMs);
   agreement::Message who;
-  if (!voter_.founded()) who = voter_.who();
+  if (!voter_.founded()) {
+    if (persisted_ == 0) return;  // a seat is told once it is on disk
+    who = voter_.who();
+  }
   if (mover_.wishes() && !mover_.knows_seat()) {
     if (mover_.in() == settings_.name) {
       mover_.seat(voter_.saved().seat);
--- a/src/fleet/member/member.hpp
+++ b/src/fleet/member/member.hpp
@@ -77,6 +77,8 @@
   void heard(const talk::Packet& packet, const membership::Address& from, std::int64_t now_ms);
   // The state of that number, or a later one, is on disk.
   void persisted(std::uint64_t version, std::int64_t now_ms);
+  // The last one given could not be written: it is to be tried again.
+  void unsaved() { saving_ = persisted_; }
 
   // Staff's word, which holds here already: it goes to the owner until it is settled. False: too many wait.
   bool call(depot::Id depot, bool held, std::int64_t unix_ms, std::int64_t now_ms);
--- /dev/null
+++ b/src/fleet/part/part.cpp
@@ -0,0 +1,257 @@
+#include "fleet/part/part.hpp"
+
+#include <google/protobuf/util/json_util.h>
+
+#include <algorithm>
+#include <cstring>
+#include <random>
+#include <utility>
+
+#include "fleet.pb.h"
+
+namespace anisewick::part {
+namespace {
+
+using logs::Level;
+
+constexpr auto kTick = std::chrono::milliseconds(15);
+constexpr std::int64_t kLeastPause = 50, kMostPause = 5000;  // between two tries to write
+
+std::uint64_t drawn() {
+  std::random_device random;
+  return static_cast<std::uint64_t>(random()) << 32 | random() | 1;
+}
+
+}  // namespace
+
+Part::Part(asio::io_context& io, service::FleetHost& host, const Settings& settings, logs::Log& log)
+    : io_(io),
+      host_(host),
+      settings_(settings),
+      log_(log),
+      session_(drawn()),
+      carrier_(io, settings.keys, session_, {}, [this] { return unix_ms(); }),
+      timer_(io),
+      again_(io) {
+  carrier_.on_membership([this](const membership::Message& m, const membership::Address& from) {
+    member_->heard(m, from, now());
+    carry_out();
+  });
+  carrier_.on_packet([this](const talk::Packet& p, const membership::Address& from) {
+    member_->heard(p, from, now());
+    carry_out();
+  });
+}
+
+Part::~Part() = default;
+
+std::int64_t Part::now() const {
+  const auto ns = std::chrono::steady_clock::now().time_since_epoch() / std::chrono::nanoseconds(1);
+  return static_cast<std::int64_t>(static_cast<double>(ns) / 1e6 * settings_.clock_rate) +
+         settings_.clock_ahead_ms;
+}
+std::int64_t Part::unix_ms() const { return links::unix_now() / 1'000'000 + settings_.clock_ahead_ms; }
+
+bool Part::start(std::string& why) {
+  int error = 0;
+  auto files = disk::posix_files(settings_.folder, error);
+  if (!files) {
+    why = settings_.folder + ": " + std::strerror(-error);
+    return false;
+  }
+  store_ = std::make_unique<store::Store>(std::move(files), settings_.fleet, settings_.member.name);
+  if (error = store_->lock(); error != 0) {
+    why = settings_.folder + (error == -EWOULDBLOCK ? " is in use by another process"
+                                                    : std::string(": ") + std::strerror(-error));
+    return false;
+  }
+  std::string aside;
+  auto saved = store_->load(aside, error);
+  if (!aside.empty()) log_.say(Level::kWarn, "state_set_aside", {{"reason", aside}});
+  if (error != 0) {
+    why = "the state in " + settings_.folder + " cannot be read or set aside: " + std::strerror(-error);
+    return false;
+  }
+  if (!saved) {
+    saved.emplace();
+    saved->voter.seat = drawn();
+    log_.say(Level::kInfo, "empty_disk", {{"reason", "this member has no state: it votes in no fleet yet"}});
+  }
+  member_ = std::make_unique<member::Member>(
+      settings_.member, session_, static_cast<std::uint64_t>(unix_ms()), std::move(*saved), drawn(), now());
+  member_->gone_by([this](depot::Id id) { return host_.gone(id); });
+  pool_ = std::make_unique<disk::Pool>(disk::Pool::Limits{1, 8},
+                                       [this](std::function<void()> f) { asio::post(io_, std::move(f)); });
+  if (const auto failed = carrier_.open(settings_.listen); failed) {
+    log_.say(Level::kWarn, "listen_failed", {{"reason", failed.message()}});
+  }
+  log_.say(Level::kInfo, "member", {{"owner", settings_.member.name}, {"reason", settings_.fleet}});
+  due_ = std::chrono::steady_clock::now();
+  tick();
+  return true;
+}
+
+void Part::tick() {
+  const auto at = std::chrono::steady_clock::now();
+  late_ms_ = std::max(late_ms_, std::chrono::duration<double, std::milli>(at - due_).count());
+  member_->tick(now());
+  carry_out();
+  due_ = at + kTick;
+  timer_.expires_at(due_);
+  timer_.async_wait([this](links::Error error) {
+    if (!error && !ended_) tick();
+  });
+}
+
+void Part::carry_out() {
+  for (member::Out& out : member_->take_out()) {
+    std::visit([&](const auto& what) { carrier_.send(out.to, what); }, out.what);
+  }
+  for (const member::Note& n : member_->take_notes()) {
+    const Level level = n.event == "heeded"             ? Level::kDebug
+                        : n.event == "late_act_refused" ? Level::kWarn
+                                                        : Level::kInfo;
+    log_.say(level, n.event,
+             {{"duty", n.duty},
+              {"term", static_cast<std::int64_t>(n.term)},
+              {"owner", n.owner},
+              {"reason", n.reason}});
+  }
+  for (const orders::Entry& e : member_->take_heed()) {
+    const auto& waiting = member_->pending();
+    const bool ours = std::any_of(waiting.begin(), waiting.end(),
+                                  [&](const orders::Call& c) { return c.depot == e.depot; });
+    host_.settled({e.depot, e.held, e.number, e.at_ms}, ours);
+  }
+  if (member_->caught_up() && !std::exchange(told_, true)) host_.caught_up();
+  save();
+}
+
+// One write at a time, on the pool's thread; what came meanwhile goes into the next.
+void Part::save() {
+  if (writing_ || ended_) return;
+  auto save = member_->take_save();
+  if (!save) return;
+  writing_ = true;
+  auto result = std::make_shared<int>(0);
+  auto state = std::make_shared<member::Save>(std::move(*save));
+  pool_->submit(
+      disk::Lane::kLedger, [this, result, state] { *result = store_->write(state->state); },
+      [this, result, state] {
+        ++writes_;
+        if (*result == 0) {
+          writing_ = false;
+          pause_ms_ = 0;
+          if (std::exchange(failing_, false)) log_.say(Level::kInfo, "state_written_again");
+          member_->persisted(state->version, now());
+          return carry_out();
+        }
+        // A full disk, say: nothing that waits for it is answered, and it is tried again.
+        ++failed_writes_;
+        if (!std::exchange(failing_, true)) {
+          log_.say(Level::kError, "state_not_written", {{"reason", std::strerror(-*result)}});
+        }
+        member_->unsaved();
+        pause_ms_ = std::clamp(pause_ms_ * 2, kLeastPause, kMostPause);
+        again_.expires_after(std::chrono::milliseconds(pause_ms_));
+        again_.async_wait([this](links::Error error) {
+          if (error) return;
+          writing_ = false;
+          this->save();
+        });
+      },
+      true);
+}
+
+std::string Part::called(depot::Id depot, bool held) {
+  if (!member_->call(depot, held, unix_ms(), now())) {
+    return "too many calls of here are not the fleet's yet: this one will not be";
+  }
+  const bool settled = member_->pending().empty();
+  carry_out();
+  if (settled) return "the fleet has it";
+  if (member_->ownerless(member::kHolds, now())) {
+    return "it is not the fleet's yet, which has no owner for it now, and becomes so later";
+  }
+  return "it is on its way to the fleet";
+}
+
+void Part::drain(bool on) {
+  member_->drain(on, now());
+  carry_out();
+}
+
+void Part::end() {
+  member_->leave(now());
+  carry_out();
+  ended_ = true;
+  timer_.cancel();
+  again_.cancel();
+  carrier_.close();
+}
+
+std::string Part::replace(const std::string& out, const std::string& in) {
+  std::string why = member_->replace(out, in, now());
+  carry_out();
+  return why;
+}
+
+std::string Part::status() {
+  anisewick::settings::FleetStatus s;
+  const auto n = [](std::uint64_t value) { return static_cast<std::uint32_t>(value); };
+  s.set_fleet(settings_.fleet);
+  s.set_member(settings_.member.name);
+  for (const ownership::Duty& duty : settings_.member.duties) {
+    auto& d = *s.add_duties();
+    const auto [owner, term] = member_->owner(duty.name);
+    d.set_duty(duty.name);
+    d.set_owner(member_->ownerless(duty.name, now()) ? "" : owner);
+    d.set_term(n(term));
+    d.set_here(member_->owns(duty.name, now()));
+  }
+  const auto& voters = member_->proposer().voters();
+  s.set_epoch(n(voters.epoch));
+  for (const auto& v : voters.now) s.add_voters(v.name);
+  for (const auto& v : voters.next) s.add_next_voters(v.name);
+  s.set_votes(member_->voter().votes());
+  const bool named = std::any_of(voters.now.begin(), voters.now.end(), [&](const agreement::Seat& seat) {
+    return seat.name == settings_.member.name;
+  });
+  s.set_empty(named && !member_->voter().votes());
+  s.set_alive(n(member_->swim().alive() + 1));
+  s.set_heeded(n(member_->order().upto()));
+  s.set_waiting(n(member_->pending().size()));
+  s.set_caught_up(member_->caught_up());
+  if (member_->owns(member::kHolds, now())) {
+    for (const auto& [member, number] : member_->heeded_by()) {
+      auto& m = *s.add_members();
+      m.set_member(member);
+      m.set_number(n(number));
+    }
+  }
+  const auto& counters = member_->counters();
+  s.set_late_acts_refused(n(counters.late_refused));
+  s.set_acts(n(counters.acts));
+  const auto& c = carrier_.counters();
+  s.set_datagrams_sent(n(c.sent));
+  s.set_datagrams_received(n(c.received));
+  s.set_too_fast(n(c.too_fast));
+  s.set_unsealed(n(c.unsealed));
+  s.set_replayed(n(c.replayed));
+  s.set_malformed(n(c.malformed));
+  s.set_other_version(n(c.other_version));
+  s.set_unsent(n(c.unsent));
+  s.set_writes(n(writes_));
+  s.set_failed_writes(n(failed_writes_));
+  s.set_late_ms(late_ms_);
+  std::string out;
+  google::protobuf::util::JsonPrintOptions options;
+  options.always_print_primitive_fields = true;
+  options.preserve_proto_field_names = true;
+  if (!google::protobuf::util::MessageToJsonString(s, &out, options).ok()) return "{}";
+  return out;
+}
+
+void Part::report() { log_.say(Level::kInfo, "status", {{"reason", status()}}); }
+
+}  // namespace anisewick::part
--- /dev/null
+++ b/src/fleet/part/part.hpp
@@ -0,0 +1,58 @@
+// A doorman's part in its fleet: the member's decisions with sockets, clock and disk under them. On the
+// doorman's loop; only the state file is written on a thread of its own.
+#ifndef ANISEWICK_FLEET_PART_PART_HPP_
+#define ANISEWICK_FLEET_PART_PART_HPP_
+
+#include <memory>
+#include <string>
+
+#include "disk/workers.hpp"
+#include "fleet/member/member.hpp"
+#include "fleet/part/settings.hpp"
+#include "fleet/peers/carrier.hpp"
+#include "fleet/store/store.hpp"
+#include "logs/logs.hpp"
+#include "service/fleet.hpp"
+
+namespace anisewick::part {
+
+class Part final : public service::Fleet {
+ public:
+  Part(asio::io_context& io, service::FleetHost& host, const Settings& settings, logs::Log& log);
+  ~Part() override;
+
+  bool start(std::string& why) override;
+  std::string called(depot::Id depot, bool held) override;
+  void drain(bool on) override;
+  void end() override;
+  std::string status() override;
+  void report() override;
+  std::string replace(const std::string& out, const std::string& in) override;
+
+ private:
+  std::int64_t now() const;      // monotonic, by this member's clock
+  std::int64_t unix_ms() const;  // likewise
+  void tick();
+  void carry_out();
+  void save();
+
+  asio::io_context& io_;
+  service::FleetHost& host_;
+  const Settings settings_;
+  logs::Log& log_;
+  const std::uint64_t session_;
+  peers::Carrier carrier_;
+  std::unique_ptr<store::Store> store_;
+  std::unique_ptr<member::Member> member_;
+  asio::steady_timer timer_, again_;
+  std::unique_ptr<disk::Pool> pool_;  // last: its thread ends before what it writes with
+  bool writing_ = false, failing_ = false, told_ = false, ended_ = false;
+  std::int64_t pause_ms_ = 0;
+  std::uint64_t writes_ = 0, failed_writes_ = 0;
+  double late_ms_ = 0.0;  // the latest tick
+  std::chrono::steady_clock::time_point due_{};
+};
+
+}  // namespace anisewick::part
+
+#endif  // ANISEWICK_FLEET_PART_PART_HPP_
--- a/src/holds/holds.cpp
+++ b/src/holds/holds.cpp
@@ -46,6 +46,19 @@
   return change_of(changed);
 }
 
+bus::Event Holds::settle(const Word& word) {
+  const auto it = marks_.find(word.depot);
+  const bool was = it != marks_.end() && it->second.held;
+  marks_[word.depot] = {word.depot, word.held, word.at_ms};
+  trim();
+  return was == word.held && it != marks_.end() ? bus::Event{} : change_of({word.depot});
+}
+
+bool Holds::gone(depot::Id id) const {
+  const auto it = told_.find(id);
+  return it == told_.end() || it->second.state == bus::State::kGone;
+}
+
 std::vector<Mark> Holds::marks() const {
   std::vector<Mark> all;
   for (const auto& [id, mark] : marks_) all.push_back(mark);
--- a/src/holds/holds.hpp
+++ b/src/holds/holds.hpp
@@ -21,6 +21,14 @@
   bool operator==(const Mark&) const = default;
 };
 
+// The word of a whole fleet on a depot: of two the one with the higher number counts, whatever clocks say.
+struct Word {
+  depot::Id depot = 0;
+  bool held = false;
+  std::uint64_t number = 0;
+  std::int64_t at_ms = 0;  // Unix time of the call, where it was taken
+};
+
 class Holds {
  public:
   // Nothing where nobody has that id; else the changes that those who follow the list have to heed, which are
@@ -28,6 +36,12 @@
   std::optional<bus::Event> detach(depot::Id id, std::int64_t now_ms);
   std::optional<bus::Event> attach(depot::Id id, std::int64_t now_ms);
 
+  // A word of the fleet, given in the order of its numbers: it stands over what was called here. What is to be
+  // heeded.
+  bus::Event settle(const Word& word);
+  // The bus says that it is gone, or never told of it.
+  bool gone(depot::Id id) const;
+
   // A list, whole or changes, as it is to be heeded; other events pass as they are. Held means draining, for
   // requests and as a source; put back means started then, at the earliest.
   bus::Event over(bus::Event event);
--- a/src/lifecycle/lifecycle.cpp
+++ b/src/lifecycle/lifecycle.cpp
@@ -14,6 +14,7 @@
 // tells what came since the configuration was written; but not for ever for a bus that is away.
 bool Life::awake(Time now) const {
   if (!listed_ || (!handed_over_ && now - started_ < kLeftPatience)) return false;
+  if (!fleet_heard_ && now - started_ < kFleetPatience) return false;
   return !predecessor_ || caught_up_ || now - started_ >= kBusPatience;
 }
 
@@ -44,6 +45,7 @@
       // On a socket of one's own those who come early find out by asking; a shared one is left to the others.
       duty.accept = !shared_;
       if (listed_) from(started_ + (handed_over_ ? kBusPatience : kLeftPatience));
+      if (!fleet_heard_) from(started_ + kFleetPatience);
       if (listed_ && now - started_ >= kLeftPatience) from(started_ + kBusPatience);
       break;
     case Phase::kServing:
--- a/src/lifecycle/lifecycle.hpp
+++ b/src/lifecycle/lifecycle.hpp
@@ -35,6 +35,9 @@
 // After that long what the one before has left to do no longer counts against the whole.
 constexpr Time kSettled = 2'000 * kMs;
 
+// How long a member of a fleet waits to hear what the fleet has settled. Requests do not wait for it.
+constexpr Time kFleetPatience = 2'000 * kMs;
+
 enum class Phase { kStarting, kServing, kDuck, kStandby, kEnding };
 
 struct Duty {
@@ -57,6 +60,8 @@
   void listed() { listed_ = true; }            // there is a list of depots
   void caught_up() { caught_up_ = true; }      // the event bus has told what it had
   void handed_over() { handed_over_ = true; }  // what a process before this one left is in
+  void in_fleet() { fleet_heard_ = false; }    // a yes waits for the fleet's word, but not for ever
+  void fleet_heard() { fleet_heard_ = true; }
   void predecessor(bool there) { predecessor_ = there; }
   // Another process of this doorman says ready, and was started later.
   void successor(bool ready) { successor_ = ready; }
@@ -79,6 +84,7 @@
   const Time started_;
   const bool shared_;
   bool listed_ = false, caught_up_ = false, handed_over_ = false, predecessor_ = false, successor_ = false;
+  bool fleet_heard_ = true;
   std::optional<Time> duck_at_, term_at_, announced_at_;
   Time longest_ = kMostDeadline;
 };
--- /dev/null
+++ b/src/service/fleet.hpp
@@ -0,0 +1,52 @@
+// What the doorman knows of a fleet it may belong to: one narrow interface. `anisewick` is built without one.
+#ifndef ANISEWICK_SERVICE_FLEET_HPP_
+#define ANISEWICK_SERVICE_FLEET_HPP_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "depot/depot.hpp"
+#include "holds/holds.hpp"
+#include "links/asio.hpp"
+
+namespace anisewick::service {
+
+// What a fleet tells its doorman, on the doorman's loop.
+class FleetHost {
+ public:
+  virtual ~FleetHost() = default;
+  // The fleet's word on a depot; words come in the order that all settle on. `ours_waits`: a call on it that
+  // was taken here is not settled yet, and stands over this word until it is.
+  virtual void settled(const holds::Word& word, bool ours_waits) = 0;
+  // All that the fleet had settled is heeded: nothing is missing for the first yes.
+  virtual void caught_up() = 0;
+  // Nobody will send to this depot any more.
+  virtual bool gone(depot::Id depot) const = 0;
+};
+
+// Owned by the doorman, used on its one thread; no call waits for anybody.
+class Fleet {
+ public:
+  virtual ~Fleet() = default;
+  // False: it cannot begin at all, and `why` says so in a line. Sockets that fail later are tried again.
+  virtual bool start(std::string& why) = 0;
+  // Staff's call, which holds here already. What is to be said of it to them, in a few words.
+  virtual std::string called(depot::Id depot, bool held) = 0;
+  // This doorman goes out of service, or comes back.
+  virtual void drain(bool on) = 0;
+  virtual void end() = 0;
+  // One line of JSON; `report` writes it to the log.
+  virtual std::string status() = 0;
+  virtual void report() = 0;
+  // Staff want one voter for another. Empty: it is begun; else why not.
+  virtual std::string replace(const std::string& out, const std::string& in) = 0;
+};
+
+// How a doorman gets its fleet; empty: it has none.
+using MakeFleet = std::function<std::unique_ptr<Fleet>(asio::io_context&, FleetHost&)>;
+
+}  // namespace anisewick::service
+
+#endif  // ANISEWICK_SERVICE_FLEET_HPP_
--- a/src/service/service.cpp
+++ b/src/service/service.cpp
@@ -65,7 +65,8 @@
       life_(now(), around.descriptor.has_value()),
       bus_(io_, counters_, net::endpoint_of(c.bus.address, c.bus.port), c.known_number,
            [this](const bus::Event& event) { heed(event); }),
-      door_(io_, [this](const door::Call& call) { return called(call); }),
+      door_(
+          io_, [this](const door::Call& call) { return called(call); }, static_cast<bool>(around.fleet)),
       signals_(io_, SIGTERM, SIGINT, SIGUSR1),
       next_(io_),
       watching_(io_),
@@ -85,6 +86,10 @@
     publish();
     take_in(folder_->look());
   }
+  if (around_.fleet) {
+    fleet_ = around_.fleet(io_, *this);
+    life_.in_fleet();
+  }
   for (const bus::Event& event : c.known) heed(event);
   config_.known.clear();
   if (!folder_ || !handover::others(folder_->look(), folder_->incarnation()).before) life_.handed_over();
@@ -103,6 +108,10 @@
     std::cerr << "anisewick: cannot listen: " << error.message() << std::endl;
     return 1;
   }
+  if (std::string why; fleet_ && !fleet_->start(why)) {
+    std::cerr << "anisewick: cannot join the fleet: " << why << std::endl;
+    return 1;
+  }
   bus_.start();
   doorman_.start();
   if (reports_) reports_->start();
@@ -135,10 +144,12 @@
     if (error) return;
     if (signal == SIGUSR1) {
       print_counters();
+      if (fleet_) fleet_->report();
     } else if (signal == SIGHUP) {
       reload();
     } else {
       life_.term(now());
+      if (fleet_) fleet_->drain(true);
       attend();
     }
     wait_for_signal();
@@ -270,6 +281,7 @@
 }
 
 void Service::end() {
+  if (fleet_) fleet_->end();
   front_.close();
   door_.close();
   bus_.close();
@@ -289,12 +301,20 @@
     case What::kDetach:
     case What::kAttach:
       return hold(call);
+    case What::kFleet:
+      return {200, fleet_->status()};
+    case What::kReplace: {
+      const std::string why = fleet_->replace(call.out, call.in);
+      return why.empty() ? door::Verdict{200, call.in + " is taking the place of " + call.out}
+                         : door::Verdict{409, why};
+    }
     case What::kDuckOn:
     case What::kDuckOff:
       look();
       if (life_.duck(now(), call.what == What::kDuckOn)) {
         drain_ = {call.what == What::kDuckOn, std::max(unix_ms(), drain_.at_ms + 1)};
         if (folder_) publish();
+        if (fleet_) fleet_->drain(drain_.on || life_.phase(now()) == lifecycle::Phase::kEnding);
         attend();
       }
       return {200, life_.duck_now() ? "emptying" : "serving"};
@@ -302,6 +322,19 @@
   return {404, "there is no such call"};
 }
 
+void Service::settled(const holds::Word& word, bool ours_waits) {
+  if (ours_waits) return;  // it will be settled too, and then has a higher number
+  const bus::Event change = holds_.settle(word);
+  if (change.kind != bus::Event::Kind::kNothing) doorman_.heed(change);
+}
+
+void Service::caught_up() {
+  life_.fleet_heard();
+  if (running_) attend();
+}
+
+bool Service::gone(depot::Id depot) const { return holds_.gone(depot); }
+
 door::Verdict Service::hold(const door::Call& call) {
   const bool out = call.what == door::Call::What::kDetach;
   const std::string id = depot::text_of(call.depot);
@@ -310,7 +343,8 @@
   if (!change) return {404, "nobody has " + id};
   if (change->kind != bus::Event::Kind::kNothing) doorman_.heed(*change);
   if (folder_) publish();  // before the answer: it binds a process that is to come, too
-  return {200, id + (out ? " is out" : " is in")};
+  const std::string said = id + (out ? " is out" : " is in");
+  return {200, fleet_ ? said + " here; " + fleet_->called(call.depot, out) : said};
 }
 
 void Service::print_counters() const {
--- a/src/service/service.hpp
+++ b/src/service/service.hpp
@@ -22,6 +22,7 @@
 #include "net/doorman.hpp"
 #include "net/front.hpp"
 #include "net/reports.hpp"
+#include "service/fleet.hpp"
 
 namespace anisewick::service {
 
@@ -34,16 +35,20 @@
   // TMPDIR: shared by the processes of this doorman where they share the listening socket; empty: none.
   std::string folder;
   std::chrono::milliseconds report_gap{0};  // ANISEWICK_REPORT_MS; 0: no reports
+  MakeFleet fleet;                          // empty: this doorman belongs to none
 };
 
 // Owned by main, one thread.
-class Service {
+class Service final : private FleetHost {
  public:
   Service(const Surroundings& around, const config::Config& c);
   // Until the end; the exit code.
   int run();
 
  private:
+  void settled(const holds::Word& word, bool ours_waits) override;
+  void caught_up() override;
+  bool gone(depot::Id depot) const override;
   void heed(const bus::Event& event);
   void wait_for_signal();
   void reload();
@@ -81,6 +86,7 @@
   door::Door door_;
   asio::signal_set signals_;
   asio::steady_timer next_, watching_, settling_;
+  std::unique_ptr<Fleet> fleet_;  // none: alone, as on the platform
   bool running_ = false, listed_ = false, failed_ = false;
   lifecycle::Time over_at_ = 0;
 };
--- a/tests/peers.hpp
+++ b/tests/peers.hpp
@@ -18,6 +18,7 @@
 #include <fstream>
 #include <stdexcept>
 #include <string>
+#include <thread>
 #include <utility>
 #include <vector>
 
@@ -184,6 +185,7 @@
       ::kill(pid_, SIGKILL);
       ::waitpid(pid_, nullptr, 0);
     }
+    if (reader_.joinable()) reader_.join();
   }
   void signal(int number) { ::kill(pid_, number); }
   void stop() {  // until SIGCONT
@@ -202,6 +204,15 @@
     if (c != '\n') throw std::runtime_error("no line: " + text);
     return text;
   }
+  // Nobody reads what it says: it must not wait for that.
+  void drain_errors() {
+    reader_ = std::thread([fd = err_.get(), log = std::getenv("ANISEWICK_TEST_LOG")] {
+      char some[4096];
+      for (ssize_t n; (n = ::read(fd, some, sizeof some)) > 0;) {
+        if (log != nullptr && ::write(2, some, static_cast<std::size_t>(n)) < 0) return;
+      }
+    });
+  }
   pid_t pid() const { return pid_; }
   bool running() { return ::waitpid(pid_, nullptr, WNOHANG) == 0; }
   // All it wrote to standard error until its end, and its exit code (-1: killed).
@@ -239,6 +250,7 @@
 
   pid_t pid_ = -1;
   Fd err_;
+  std::thread reader_;
 };
 
 inline std::string param(const std::string& name, const std::string& value) {
--- a/tests/site.hpp
+++ b/tests/site.hpp
@@ -223,6 +223,7 @@
     bus = at.accept();
     hello = bus.take(8);
   }
+  const std::string& path() const { return path_; }
   int bus_port() const { return bus_.port(); }
 
   Caches caches;
