Cause the named faults between processes: late acts, splits, duels, full and torn disks

Hard cases of ownership on five real processes: an act of an old term let go after the next term's, a split with calls on both sides, heirs that duel, a full disk, torn and foreign state, packets of another version, replays after the window.

--- a/src/fleet/part/part.cpp
+++ b/src/fleet/part/part.cpp
@@ -22,6 +22,12 @@
   return static_cast<std::uint64_t>(random()) << 32 | random() | 1;
 }
 
+peers::Carrier::Limits limits_of(const Settings& settings) {
+  peers::Carrier::Limits limits;
+  limits.window_ms = settings.window_ms;
+  return limits;
+}
+
 }  // namespace
 
 Part::Part(asio::io_context& io, service::FleetHost& host, const Settings& settings, logs::Log& log)
@@ -30,7 +36,7 @@
       settings_(settings),
       log_(log),
       session_(drawn()),
-      carrier_(io, settings.keys, session_, {}, [this] { return unix_ms(); }),
+      carrier_(io, settings.keys, session_, limits_of(settings), [this] { return unix_ms(); }),
       timer_(io),
       again_(io) {
   carrier_.on_membership([this](const membership::Message& m, const membership::Address& from) {
--- a/src/fleet/part/settings.cpp
+++ b/src/fleet/part/settings.cpp
@@ -190,6 +190,8 @@
     reader_.range(top_, f_, "probe_ms", 50, 60'000, "milliseconds");
     reader_.range(top_, f_, "gossip_ms", 20, 60'000, "milliseconds");
     reader_.range(top_, f_, "young_ms", 0, 600'000, "milliseconds");
+    reader_.range(top_, f_, "window_ms", 1000, 600'000, "milliseconds");
+    s_.window_ms = f_.window_ms();
     auto& m = s_.member;
     m.lease.lease_ms = f_.lease_ms();
     m.lease.drift_ppm = f_.drift_ppm();
--- a/src/fleet/peers/carrier.cpp
+++ b/src/fleet/peers/carrier.cpp
@@ -20,7 +20,7 @@
 Carrier::Carrier(asio::io_context& io, std::vector<Key> keys, std::uint64_t session, const Limits& limits,
                  std::function<std::int64_t()> unix_ms)
     : io_(io),
-      seal_(std::move(keys), session, {}),
+      seal_(std::move(keys), session, {limits.window_ms, 8192}),
       limits_(limits),
       unix_ms_(std::move(unix_ms)),
       socket_(io),
--- a/src/fleet/peers/carrier.hpp
+++ b/src/fleet/peers/carrier.hpp
@@ -26,6 +26,7 @@
     double per_peer = 1000.0, burst = 500.0;  // datagrams a second and at once, by source address
     double in_all = 20'000.0;                 // a second, before any is looked into
     std::size_t peers = 4096;                 // addresses told apart; those beyond share one measure
+    std::int64_t window_ms = 30'000;          // of the seal
     std::int64_t reopen_ms = 50;              // first pause before the socket is opened again; doubles to 5 s
   };
   struct Counters {
--- a/src/standin/between.cpp
+++ b/src/standin/between.cpp
@@ -23,6 +23,7 @@
 namespace {
 
 using Clock = std::chrono::steady_clock;
+constexpr std::size_t kHeld = 100;
 constexpr std::size_t kKept = 16;         // datagrams of each member, for a replay
 constexpr std::size_t kFlights = 20'000;  // under way at once
 
@@ -74,6 +75,8 @@
   std::mt19937_64 random;
   std::vector<Side> sides;
   std::set<std::pair<std::size_t, std::size_t>> cuts;
+  std::set<std::pair<std::size_t, std::size_t>> holds;
+  std::vector<Flight> held;
   double loss = 0.0, twice = 0.0;
   int delay_ms = 0;
   std::uint64_t order = 0;
@@ -103,6 +106,10 @@
       ++counts.cut;
       return;
     }
+    if (holds.contains({from, to}) && held.size() < kHeld) {
+      held.push_back({Clock::now(), ++order, from, to, std::move(bytes)});
+      return;
+    }
     if (lot() < loss || flights.size() >= kFlights) {
       ++counts.lost;
       return;
@@ -244,6 +251,18 @@
   }
   impl_->stir();
 }
+void Between::hold(std::size_t from, std::size_t to) {
+  const std::lock_guard hold(impl_->mutex);
+  impl_->holds.insert({from, to});
+}
+void Between::let_go() {
+  {
+    const std::lock_guard hold(impl_->mutex);
+    impl_->holds.clear();
+    for (auto& f : std::exchange(impl_->held, {})) impl_->flights.push(std::move(f));
+  }
+  impl_->stir();
+}
 void Between::noise(std::size_t to, const std::vector<char>& bytes) {
   {
     const std::lock_guard hold(impl_->mutex);
--- a/src/standin/between.hpp
+++ b/src/standin/between.hpp
@@ -33,7 +33,10 @@
   void at(int ms, std::function<void()> what);
   // Once more what came from there last, a few datagrams, to another member or the same.
   void replay(std::size_t from, std::size_t to);
-  // Bytes of nobody's making.
+  // What goes from there to there is kept back, up to a hundred datagrams, and goes on when it is let go.
+  void hold(std::size_t from, std::size_t to);
+  void let_go();
+  // Bytes of nobody's making, as if they came from member 0, or 1.
   void noise(std::size_t to, const std::vector<char>& bytes);
 
   struct Counts {
--- a/tests/fleet.hpp
+++ b/tests/fleet.hpp
@@ -126,7 +126,8 @@
     return done();
   }
   bool ready(std::size_t i) {
-    return until([&] { return ask(i, "GET", "/_ready").find("ready\n") == ask(i, "GET", "/_ready").size() - 6; });
+    return until(
+        [&] { return ask(i, "GET", "/_ready").find("ready\n") == ask(i, "GET", "/_ready").size() - 6; });
   }
   int heeded(std::size_t i) {
     const std::string text = field(status(i), "heeded");
--- a/tests/fleet_process_test.cpp
+++ b/tests/fleet_process_test.cpp
@@ -3,6 +3,7 @@
 #include <catch2/catch.hpp>
 
 #include "fleet.hpp"
+#include "fleet/peers/seal.hpp"
 
 using namespace anisewick::peers;
 
@@ -288,3 +289,120 @@
     CHECK(call(d.door(i), "GET", "/_ready").status == 200);
   }
 }
+
+TEST_CASE("An act of an old term that arrives after the next term's is refused, however late") {
+  FleetOptions o;
+  o.careless = {0, 1, 2, 3, 4};
+  Doormen d(o);
+  d.start();
+  const std::size_t old = d.wait_owner();
+  REQUIRE(old != Doormen::npos);
+  const auto rest = all_but(5, old);
+  const std::size_t last = rest[3];
+  d.between.hold(old, last);  // what the owner says to one of them waits on the way
+  d.ask(rest[0], "POST", kOut + "1");
+  REQUIRE(d.all_heed(1, rest));
+  d.kill(old);
+  REQUIRE(d.wait_owner(rest) != Doormen::npos);
+  d.ask(rest[0], "POST", kIn + "1");
+  REQUIRE(d.all_heed(2, rest));
+  const int refused = std::stoi(Doormen::field(d.status(last), "late_acts_refused"));
+  d.between.let_go();
+  CHECK(Doormen::until(
+      [&] { return std::stoi(Doormen::field(d.status(last), "late_acts_refused")) > refused; }));
+  CHECK(d.heeded(last) == 2);
+}
+
+TEST_CASE(
+    "In a split one side goes on; the other keeps its calls, which become the fleet's once it is healed") {
+  Doormen d({});
+  d.start();
+  REQUIRE(d.wait_owner() != Doormen::npos);
+  for (std::size_t i = 0; i < 5; ++i) REQUIRE(d.ready(i));
+  // One voter and one other on the lesser side, be the owner there or not.
+  d.between.split({0, 3});
+  REQUIRE(d.wait_owner({1, 2, 4}) != Doormen::npos);
+  REQUIRE(Doormen::until([&] { return d.owner({0, 3}) == Doormen::npos; }));
+  d.ask(4, "POST", kOut + "1");
+  CHECK(d.all_heed(1, {1, 2, 4}));
+  d.ask(3, "POST", kOut + "2");
+  CHECK(Doormen::field(d.status(3), "waiting") == "1");
+  CHECK(d.heeded(3) == 0);
+  CHECK(d.ready(3));
+  d.between.heal();
+  CHECK(d.all_heed(2, {0, 1, 2, 3, 4}));
+  CHECK(Doormen::field(d.status(3), "waiting") == "0");
+}
+
+TEST_CASE("Heirs that duel under delay come to one owner, each time anew") {
+  FleetOptions o;
+  o.lease_ms = 600;
+  Doormen d(o);
+  d.between.delay(60);
+  d.start();
+  int term = 0;
+  for (int round = 0; round < 3; ++round) {
+    const std::size_t owner = d.wait_owner();
+    REQUIRE(owner != Doormen::npos);
+    const int now = std::stoi(Doormen::field(d.status(owner), "term"));
+    CHECK(now > term);
+    term = now;
+    d.kill(owner);
+    REQUIRE(d.wait_owner(all_but(5, owner)) != Doormen::npos);
+    d.start(owner);
+  }
+}
+
+TEST_CASE("A full disk answers nothing, a torn or foreign state is set aside, and neither is written over") {
+  Doormen d({});
+  d.start();
+  REQUIRE(d.wait_owner() != Doormen::npos);
+  for (std::size_t i = 0; i < 5; ++i) REQUIRE(d.ready(i));
+  d.program(0).full_disk(true);
+  d.ask(3, "POST", kOut + "1");
+  CHECK(d.all_heed(1, {1, 2, 3, 4}));  // two voters are enough
+  CHECK(Doormen::until([&] { return std::stoi(Doormen::field(d.status(0), "failed_writes")) > 0; }));
+  CHECK(d.ready(0));
+  d.program(0).full_disk(false);
+  CHECK(d.all_heed(1, {0}));
+
+  d.kill(1);
+  const std::string state = d.folder(1) + "/member.state";
+  std::filesystem::resize_file(state, std::filesystem::file_size(state) / 2);
+  d.start(1);
+  CHECK(Doormen::until([&] { return Doormen::field(d.status(1), "empty") == "true"; }));
+  CHECK(std::filesystem::exists(state + ".set-aside-1"));
+
+  d.kill(2);
+  std::filesystem::copy_file(d.folder(0) + "/member.state", d.folder(2) + "/member.state",
+                             std::filesystem::copy_options::overwrite_existing);
+  d.start(2);
+  CHECK(Doormen::until([&] { return Doormen::field(d.status(2), "empty") == "true"; }));
+  CHECK(std::filesystem::exists(d.folder(2) + "/member.state.set-aside-1"));
+  // Two of three voters have lost their state: nobody may decide, and everybody serves.
+  CHECK(Doormen::until([&] { return d.owner() == Doormen::npos; }));
+  for (std::size_t i = 0; i < 5; ++i) CHECK(d.ready(i));
+}
+
+TEST_CASE("Sealed datagrams of another version, and replays after the window, are counted and dropped") {
+  FleetOptions o;
+  o.more = "window_ms: 1000\n";
+  Doormen d(o);
+  d.start();
+  REQUIRE(d.wait_owner() != Doormen::npos);
+  anisewick::peers::Seal seal({{1, "0123456789abcdef0123456789abcdef"}}, 77, {});
+  // A packet that says version 9, and one that is cut short in the middle.
+  const std::string other = std::string("\x04\x08\x09\x12\x02n1", 7),
+                    cut = std::string("\x04\x08\x01\x12\x09n1", 7);
+  for (const std::string& payload : {other, cut}) {
+    const std::string bytes = seal.close(payload, now_ms());
+    d.between.noise(4, {bytes.begin(), bytes.end()});
+  }
+  CHECK(Doormen::until([&] { return Doormen::field(d.status(4), "other_version") == "1"; }));
+  CHECK(Doormen::until([&] { return Doormen::field(d.status(4), "malformed") == "1"; }));
+  const std::string old = seal.close(other, now_ms() - 1500);
+  d.between.noise(4, {old.begin(), old.end()});
+  CHECK(Doormen::until([&] { return Doormen::field(d.status(4), "replayed") != "0"; }));
+  d.ask(4, "POST", kOut + "1");
+  CHECK(d.all_heed(1, {0, 1, 2, 3, 4}));
+}
--- a/tests/peers.hpp
+++ b/tests/peers.hpp
@@ -8,6 +8,7 @@
 #include <netinet/in.h>
 #include <poll.h>
 #include <signal.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -213,6 +214,11 @@
       }
     });
   }
+  // Its disk is full from now on, or is not.
+  void full_disk(bool on) {
+    rlimit limit{on ? 64 : RLIM_INFINITY, RLIM_INFINITY};
+    ::prlimit(pid_, RLIMIT_FSIZE, &limit, nullptr);
+  }
   pid_t pid() const { return pid_; }
   bool running() { return ::waitpid(pid_, nullptr, WNOHANG) == 0; }
   // All it wrote to standard error until its end, and its exit code (-1: killed).
@@ -238,6 +244,7 @@
     pid_ = ::fork();
     if (pid_ == 0) {
       ::dup2(out[1], 2);
+      ::signal(SIGXFSZ, SIG_IGN);  // a limit on files is then a full disk
       before();
       std::vector<char*> all{const_cast<char*>(path.c_str())};
       for (const std::string& a : args) all.push_back(const_cast<char*>(a.c_str()));
