--- /dev/null
+++ b/bench/ownership_mistakes.cpp
@@ -0,0 +1,33 @@
+// Whether each mistake that is seeded in this build is found, and by what; with the shortest trace where the
+// explorer finds it. Ends with the two figures for bench/ownership.
+#include <atomic>
+#include <cstdio>
+#include <cstring>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+#include "standin/mistaken.hpp"
+
+using namespace anisewick;
+
+int main(int argc, char** argv) {
+  const bool quick = argc > 1 && std::strcmp(argv[1], "--quick") == 0;
+  const auto& all = standin::mistakes();
+  std::atomic<std::size_t> next{0}, found{0};
+  std::mutex mutex;
+  std::vector<std::thread> threads;
+  for (unsigned t = 0; t < std::max(1u, std::thread::hardware_concurrency()); ++t) {
+    threads.emplace_back([&] {
+      for (std::size_t i; (i = next++) < all.size();) {
+        const standin::Found f = standin::look_for(all[i].mistake, 400, !quick);
+        found += f.found;
+        const std::lock_guard hold(mutex);
+        std::printf("%s: %s\n", all[i].name, f.found ? (f.by + ", " + f.detail).c_str() : "not found");
+      }
+    });
+  }
+  for (std::thread& t : threads) t.join();
+  std::printf("mutants_found=%zu mutants_total=%zu\n", found.load(), all.size());
+  return 0;
+}
