--- a/src/holds/holds.hpp
+++ b/src/holds/holds.hpp
@@ -36,8 +36,8 @@
   std::optional<bus::Event> detach(depot::Id id, std::int64_t now_ms);
   std::optional<bus::Event> attach(depot::Id id, std::int64_t now_ms);
 
-  // A word of the fleet, given in the order of its numbers: it stands over what was called here. What is to be
-  // heeded.
+  // A word of the fleet, given in the order of its numbers: it stands over what was called here. What is to
+  // be heeded.
   bus::Event settle(const Word& word);
   // The bus says that it is gone, or never told of it.
   bool gone(depot::Id id) const;
