Share the fleet's values, leave no trace of it in anisewick, and cause more faults

The conversions of registers' values stood three times: they are in talk/values now. Tests added: a duty that moves slowly to a better heir and at once from one that drains, a majority lost for 10 s, a link healed half, an address that cannot be had and a peer that sends too fast.

--- a/src/fleet/member/mover.cpp
+++ b/src/fleet/member/mover.cpp
@@ -4,7 +4,7 @@
 #include <utility>
 
 #include "fleet/agreement/mistakes.hpp"
-#include "talk.pb.h"
+#include "fleet/talk/values.hpp"
 
 namespace anisewick::member {
 
@@ -16,28 +16,13 @@
 
 std::string encode(const Voters& voters) {
   wire::Voters out;
-  out.set_epoch(voters.epoch);
-  for (const Seat& s : voters.now) {
-    auto& seat = *out.add_now();
-    seat.set_name(s.name);
-    seat.set_id(s.id);
-  }
-  for (const Seat& s : voters.next) {
-    auto& seat = *out.add_next();
-    seat.set_name(s.name);
-    seat.set_id(s.id);
-  }
+  talk::to(voters, out);
   return out.SerializeAsString();
 }
 
 std::optional<Voters> voters_from(const std::string& value) {
   wire::Voters in;
-  if (!in.ParseFromString(value)) return std::nullopt;
-  Voters out;
-  out.epoch = in.epoch();
-  for (const auto& s : in.now()) out.now.push_back({s.name(), s.id()});
-  for (const auto& s : in.next()) out.next.push_back({s.name(), s.id()});
-  return out;
+  return in.ParseFromString(value) ? std::optional(talk::from(in)) : std::nullopt;
 }
 
 std::vector<Mover::Ask> Mover::next(const Voters& now, const std::vector<std::string>& keys) {
--- a/src/fleet/orders/order.cpp
+++ b/src/fleet/orders/order.cpp
@@ -3,7 +3,7 @@
 #include <algorithm>
 #include <utility>
 
-#include "talk.pb.h"
+#include "fleet/talk/values.hpp"
 
 namespace anisewick::orders {
 namespace {
@@ -58,31 +58,15 @@
 std::string encode(const Shard& shard) {
   wire::Shard s;
   s.set_term(shard.term);
-  for (const Entry& e : shard.entries) {
-    auto& to = *s.add_entries();
-    to.set_depot(e.depot);
-    to.set_held(e.held);
-    to.set_number(e.number);
-    to.set_at_ms(e.at_ms);
-    for (const CallId& c : e.calls) {
-      auto& id = *to.add_calls();
-      id.set_origin(c.origin);
-      id.set_serial(c.serial);
-    }
-  }
+  for (const Entry& e : shard.entries) talk::to(e, *s.add_entries());
   return s.SerializeAsString();
 }
 
 std::optional<Shard> shard_from(const std::string& value) {
   wire::Shard s;
-  if (!s.ParseFromString(value)) return std::nullopt;
   Shard shard;
+  if (!s.ParseFromString(value) || !talk::all_from(s.entries(), shard.entries)) return std::nullopt;
   shard.term = s.term();
-  for (const auto& e : s.entries()) {
-    Entry entry{e.depot(), e.held(), e.number(), e.at_ms(), {}};
-    for (const auto& c : e.calls()) entry.calls.push_back({c.origin(), c.serial()});
-    shard.entries.push_back(std::move(entry));
-  }
   return shard;
 }
 
--- a/src/fleet/part/part.cpp
+++ b/src/fleet/part/part.cpp
@@ -30,9 +30,9 @@
 
 }  // namespace
 
-Part::Part(asio::io_context& io, service::FleetHost& host, const Settings& settings, logs::Log& log)
+Part::Part(asio::io_context& io, service::FleetHost host, const Settings& settings, logs::Log& log)
     : io_(io),
-      host_(host),
+      host_(std::move(host)),
       settings_(settings),
       log_(log),
       session_(drawn()),
--- a/src/fleet/part/part.hpp
+++ b/src/fleet/part/part.hpp
@@ -18,7 +18,7 @@
 
 class Part final : public service::Fleet {
  public:
-  Part(asio::io_context& io, service::FleetHost& host, const Settings& settings, logs::Log& log);
+  Part(asio::io_context& io, service::FleetHost host, const Settings& settings, logs::Log& log);
   ~Part() override;
 
   bool start(std::string& why) override;
@@ -37,7 +37,7 @@
   void save();
 
   asio::io_context& io_;
-  service::FleetHost& host_;
+  const service::FleetHost host_;
   const Settings settings_;
   logs::Log& log_;
   const std::uint64_t session_;
--- a/src/fleet/peers/carrier.hpp
+++ b/src/fleet/peers/carrier.hpp
@@ -49,6 +49,7 @@
   void send(const Address& to, const membership::Message& message);
   void send(const Address& to, const talk::Packet& packet);
   void close();
+  bool receiving() const { return socket_.is_open(); }
   const Counters& counters() const { return counters_; }
 
  private:
--- a/src/fleet/talk/talk.cpp
+++ b/src/fleet/talk/talk.cpp
@@ -2,7 +2,7 @@
 
 #include <utility>
 
-#include "talk.pb.h"
+#include "fleet/talk/values.hpp"
 
 namespace anisewick::talk {
 namespace {
@@ -10,58 +10,7 @@
 constexpr std::uint32_t kVersion = 1;
 constexpr std::size_t kMostName = 32;
 
-// The generated classes and the values, field by field.
-agreement::Ballot from(const wire::Ballot& b) { return {b.number(), b.proposer()}; }
-void to(const agreement::Ballot& b, wire::Ballot& out) {
-  out.set_number(b.number);
-  out.set_proposer(b.proposer);
-}
-std::vector<agreement::Seat> from(const google::protobuf::RepeatedPtrField<wire::Seat>& seats) {
-  std::vector<agreement::Seat> out;
-  for (const auto& s : seats) out.push_back({s.name(), s.id()});
-  return out;
-}
-agreement::Voters from(const wire::Voters& v) { return {v.epoch(), from(v.now()), from(v.next())}; }
-void to(const agreement::Voters& v, wire::Voters& out) {
-  const auto add = [](const agreement::Seat& s, wire::Seat& seat) {
-    seat.set_name(s.name);
-    seat.set_id(s.id);
-  };
-  out.set_epoch(v.epoch);
-  for (const agreement::Seat& s : v.now) add(s, *out.add_now());
-  for (const agreement::Seat& s : v.next) add(s, *out.add_next());
-}
-orders::CallId from(const wire::CallId& id) { return {id.origin(), id.serial()}; }
-void to(const orders::CallId& id, wire::CallId& out) {
-  out.set_origin(id.origin);
-  out.set_serial(id.serial);
-}
-orders::Call from(const wire::Call& c) { return {from(c.id()), c.depot(), c.held(), c.at_ms()}; }
-void to(const orders::Call& c, wire::Call& out) {
-  to(c.id, *out.mutable_id());
-  out.set_depot(c.depot);
-  out.set_held(c.held);
-  out.set_at_ms(c.at_ms);
-}
-bool all_from(const google::protobuf::RepeatedPtrField<wire::Entry>& entries,
-              std::vector<orders::Entry>& out) {
-  for (const auto& e : entries) {
-    if (e.calls_size() > static_cast<int>(orders::kMostCalls)) return false;
-    orders::Entry entry{e.depot(), e.held(), e.number(), e.at_ms(), {}};
-    for (const auto& c : e.calls()) entry.calls.push_back(from(c));
-    out.push_back(std::move(entry));
-  }
-  return true;
-}
-void to(const orders::Entry& e, wire::Entry& out) {
-  out.set_depot(e.depot);
-  out.set_held(e.held);
-  out.set_number(e.number);
-  out.set_at_ms(e.at_ms);
-  for (const orders::CallId& c : e.calls) to(c, *out.add_calls());
-}
-
-void to(const agreement::Message& m, wire::Agreement& out) {
+void message_to(const agreement::Message& m, wire::Agreement& out) {
   out.set_kind(static_cast<std::uint32_t>(m.kind));
   out.set_fleet(m.fleet);
   out.set_epoch(m.epoch);
@@ -83,7 +32,7 @@
   }
   return true;
 }
-bool from(const wire::Agreement& a, agreement::Message& m) {
+bool message_from(const wire::Agreement& a, agreement::Message& m) {
   using Kind = agreement::Message::Kind;
   if (a.kind() < static_cast<std::uint32_t>(Kind::kPrepare) ||
       a.kind() > static_cast<std::uint32_t>(Kind::kWho) || a.key().size() > agreement::kMostKey ||
@@ -103,7 +52,7 @@
   return true;
 }
 
-void to(const Talk& t, wire::Talk& out) {
+void talk_to(const Talk& t, wire::Talk& out) {
   out.set_kind(static_cast<std::uint32_t>(t.kind));
   out.set_duty(t.duty);
   out.set_term(t.term);
@@ -117,7 +66,7 @@
   out.set_verdict(t.verdict);
   out.set_answer(t.answer);
 }
-bool from(const wire::Talk& t, Talk& out) {
+bool talk_from(const wire::Talk& t, Talk& out) {
   if (t.kind() < static_cast<std::uint32_t>(Talk::Kind::kTell) ||
       t.kind() > static_cast<std::uint32_t>(Talk::Kind::kHeeded) || t.duty().empty() ||
       t.duty().size() > kMostName || t.owner().size() > kMostName || t.from() > t.to() ||
@@ -144,9 +93,9 @@
   out.set_version(kVersion);
   out.set_from(packet.from);
   if (const auto* m = std::get_if<agreement::Message>(&packet.what)) {
-    to(*m, *out.mutable_agreement());
+    message_to(*m, *out.mutable_agreement());
   } else {
-    to(std::get<Talk>(packet.what), *out.mutable_talk());
+    talk_to(std::get<Talk>(packet.what), *out.mutable_talk());
   }
   return out.SerializeAsString();
 }
@@ -166,11 +115,11 @@
   bool good = false;
   if (in.has_agreement()) {
     agreement::Message m;
-    good = from(in.agreement(), m);
+    good = message_from(in.agreement(), m);
     packet.what = std::move(m);
   } else if (in.has_talk()) {
     Talk t;
-    good = from(in.talk(), t);
+    good = talk_from(in.talk(), t);
     packet.what = std::move(t);
   }
   if (!good) return std::nullopt;
--- a/src/programs/fleet.cpp
+++ b/src/programs/fleet.cpp
@@ -42,8 +42,8 @@
   const std::string listen = either("RELAY_LISTEN", s->relay), door = either("RELAY_OPS", s->door);
   around.listen = listen.empty() ? c.listen : config::endpoint_from(listen);
   around.ops = door.empty() ? c.ops : config::endpoint_from(door);
-  around.fleet = [&](asio::io_context& io, service::FleetHost& host) {
-    return std::make_unique<part::Part>(io, host, *s, log);
+  around.fleet = [&](asio::io_context& io, service::FleetHost host) {
+    return std::make_unique<part::Part>(io, std::move(host), *s, log);
   };
   return service::Service(around, c).run();
 }
--- a/src/service/fleet.hpp
+++ b/src/service/fleet.hpp
@@ -14,16 +14,14 @@
 namespace anisewick::service {
 
 // What a fleet tells its doorman, on the doorman's loop.
-class FleetHost {
- public:
-  virtual ~FleetHost() = default;
+struct FleetHost {
   // The fleet's word on a depot; words come in the order that all settle on. `ours_waits`: a call on it that
   // was taken here is not settled yet, and stands over this word until it is.
-  virtual void settled(const holds::Word& word, bool ours_waits) = 0;
+  std::function<void(const holds::Word& word, bool ours_waits)> settled;
   // All that the fleet had settled is heeded: nothing is missing for the first yes.
-  virtual void caught_up() = 0;
+  std::function<void()> caught_up;
   // Nobody will send to this depot any more.
-  virtual bool gone(depot::Id depot) const = 0;
+  std::function<bool(depot::Id depot)> gone;
 };
 
 // Owned by the doorman, used on its one thread; no call waits for anybody.
@@ -45,7 +43,7 @@
 };
 
 // How a doorman gets its fleet; empty: it has none.
-using MakeFleet = std::function<std::unique_ptr<Fleet>(asio::io_context&, FleetHost&)>;
+using MakeFleet = std::function<std::unique_ptr<Fleet>(asio::io_context&, FleetHost)>;
 
 }  // namespace anisewick::service
 
--- a/src/service/service.cpp
+++ b/src/service/service.cpp
@@ -87,7 +87,9 @@
     take_in(folder_->look());
   }
   if (around_.fleet) {
-    fleet_ = around_.fleet(io_, *this);
+    fleet_ =
+        around_.fleet(io_, {[this](const holds::Word& word, bool ours_waits) { settled(word, ours_waits); },
+                            [this] { caught_up(); }, [this](depot::Id id) { return holds_.gone(id); }});
     life_.in_fleet();
   }
   for (const bus::Event& event : c.known) heed(event);
@@ -333,8 +335,6 @@
   if (running_) attend();
 }
 
-bool Service::gone(depot::Id depot) const { return holds_.gone(depot); }
-
 door::Verdict Service::hold(const door::Call& call) {
   const bool out = call.what == door::Call::What::kDetach;
   const std::string id = depot::text_of(call.depot);
--- a/src/service/service.hpp
+++ b/src/service/service.hpp
@@ -39,16 +39,15 @@
 };
 
 // Owned by main, one thread.
-class Service final : private FleetHost {
+class Service {
  public:
   Service(const Surroundings& around, const config::Config& c);
   // Until the end; the exit code.
   int run();
 
  private:
-  void settled(const holds::Word& word, bool ours_waits) override;
-  void caught_up() override;
-  bool gone(depot::Id depot) const override;
+  void settled(const holds::Word& word, bool ours_waits);
+  void caught_up();
   void heed(const bus::Event& event);
   void wait_for_signal();
   void reload();
--- a/tests/fleet_parts_test.cpp
+++ b/tests/fleet_parts_test.cpp
@@ -5,6 +5,7 @@
 
 #include "door/calls.hpp"
 #include "fleet/part/settings.hpp"
+#include "fleet/peers/carrier.hpp"
 #include "fleet/store/store.hpp"
 #include "lifecycle/lifecycle.hpp"
 #include "standin/faulty_files.hpp"
@@ -208,3 +209,38 @@
   life.fleet_heard();
   CHECK(life.duty(kMs).ready);
 }
+
+TEST_CASE("An address that cannot be had is tried again, and who sends too fast is counted and passed over") {
+  asio::io_context io(1);
+  using Udp = asio::ip::udp;
+  Udp::socket taken(io, Udp::endpoint(asio::ip::address_v4::loopback(), 0));
+  const auto at = taken.local_endpoint();
+  const std::vector<peers::Key> keys{{1, "0123456789abcdef"}};
+  const auto wall = [] { return std::int64_t{1'000'000}; };
+  peers::Carrier::Limits limits;
+  limits.reopen_ms = 5;
+  limits.per_peer = 1.0;
+  limits.burst = 20.0;
+  peers::Carrier here(io, keys, 1, limits, wall), there(io, keys, 2, {}, wall);
+  int heard = 0;
+  here.on_membership([&](const membership::Message&, const membership::Address&) {});
+  here.on_packet([&](const talk::Packet&, const membership::Address&) { ++heard; });
+  CHECK(here.open(at));
+  here.send({0x7f000001, at.port()}, talk::Packet{"n1", talk::Talk{}});
+  CHECK(here.counters().unsent == 1);
+  taken.close();
+  CHECK_FALSE(there.open(Udp::endpoint(asio::ip::address_v4::loopback(), 0)));
+  talk::Talk t;
+  t.duty = "holds";
+  const auto until = [&](const auto& done) {
+    for (int i = 0; i < 2'000 && !done(); ++i) io.run_one_for(std::chrono::milliseconds(10));
+    return done();
+  };
+  CHECK(until([&] { return here.counters().reopened > 0 && here.receiving(); }));
+  for (int i = 0; i < 60; ++i) there.send({0x7f000001, at.port()}, talk::Packet{"n2", t});
+  CHECK(until([&] { return here.counters().received == 60; }));
+  CHECK(heard >= 20);
+  CHECK(here.counters().too_fast >= 38);
+  here.close();
+  there.close();
+}
--- a/tests/fleet_process_test.cpp
+++ b/tests/fleet_process_test.cpp
@@ -138,6 +138,7 @@
       [&] { return d.ask(3, "POST", kOut + "1").find("not the fleet's yet") != std::string::npos; }));
   CHECK(d.heeded(3) == 0);
   CHECK(d.ready(4));
+  std::this_thread::sleep_for(std::chrono::seconds(10));  // so long there is no majority
   const int waiting = std::stoi(Doormen::field(d.status(3), "waiting"));
   CHECK(waiting >= 1);
   d.start(0);
@@ -261,6 +262,22 @@
   }
 }
 
+TEST_CASE("An owner that staff empty hands its duty over, and takes it neither back nor another's") {
+  Doormen d({});
+  d.start();
+  const std::size_t owner = d.wait_owner();
+  REQUIRE(owner != Doormen::npos);
+  const std::int64_t from = now_ms();
+  d.ask(owner, "POST", "/_lameduck/on");
+  REQUIRE(d.wait_owner(all_but(5, owner)) != Doormen::npos);
+  CHECK(now_ms() - from < 900);
+  for (const std::size_t i : all_but(5, owner)) {
+    if (d.owner() == i) d.term(i);
+  }
+  REQUIRE(Doormen::until([&] { return d.owner() != Doormen::npos; }));
+  CHECK(d.status(owner).find("\"here\":true") == std::string::npos);
+}
+
 TEST_CASE("Loss, duplicates, forged and replayed datagrams, and clocks apart change nothing") {
   FleetOptions o;
   o.ahead_ms = {0, 2000, 0, -2000, 500};
@@ -329,6 +346,12 @@
   CHECK(Doormen::field(d.status(3), "waiting") == "1");
   CHECK(d.heeded(3) == 0);
   CHECK(d.ready(3));
+  // Healed half: what the lesser side says gets through, the answers do not.
+  for (const std::size_t from : {0, 3}) {
+    for (const std::size_t to : {1, 2, 4}) d.between.cut(from, to, false);
+  }
+  std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+  CHECK(d.owner({0, 3}) == Doormen::npos);
   d.between.heal();
   CHECK(d.all_heed(2, {0, 1, 2, 3, 4}));
   CHECK(Doormen::field(d.status(3), "waiting") == "0");
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -207,3 +207,26 @@
   CHECK(near.at("work").front().size() >= 2);
   for (std::size_t i = 0; i < 4; ++i) CHECK(std::stoi(near.at("work")[i].substr(1)) % 3 == 2);
 }
+
+TEST_CASE("A duty moves to a better heir slowly, and never to one that drains") {
+  EnsembleOptions o;
+  o.seed = 3;
+  Ensemble e(o);
+  REQUIRE(e.until([&] { return e.owner("holds") != Ensemble::npos; }, 10'000));
+  // The first heir of all five, wherever the duty was taken first.
+  std::vector<ownership::Candidate> members;
+  for (int i = 0; i < 5; ++i) members.push_back({"n" + std::to_string(i), "z" + std::to_string(i % 3), 1.0});
+  const auto list = ownership::heirs({{"holds", ""}}, members).at("holds");
+  const auto first = static_cast<std::size_t>(list.front()[1] - '0');
+  const auto second = static_cast<std::size_t>(list[1][1] - '0');
+  REQUIRE(e.until([&] { return e.owner("holds") == first; }, 60'000));
+  e.drain(first, true);
+  REQUIRE(e.until([&] { return e.owner("holds") == second; }, 1000));
+  e.run(3 * o.lease_ms);
+  CHECK(e.owner("holds") == second);
+  e.drain(first, false);
+  e.run(8 * o.lease_ms);
+  CHECK(e.owner("holds") == second);
+  CHECK(e.until([&] { return e.owner("holds") == first; }, 8 * o.lease_ms));
+  CHECK(e.sound());
+}
