--- a/src/fleet/member/member.cpp
+++ b/src/fleet/member/member.cpp
@@ -750,7 +750,7 @@
       return;
     }
     case Kind::kHeeded: {
-      if (!p->tenure.held()) return;
+      if (!p->tenure.held() || !swim_.members().contains(from)) return;
       std::uint64_t& known = heeded_by_[from];
       known = std::max(known, t.known);
       return;
--- a/src/fleet/part/part.cpp
+++ b/src/fleet/part/part.cpp
@@ -94,6 +94,8 @@
   log_.say(Level::kInfo, "member", {{"owner", settings_.member.name}, {"reason", settings_.fleet}});
   due_ = std::chrono::steady_clock::now();
   tick();
+  // What was called here and is not the fleet's yet holds here, over what the fleet had settled before.
+  for (const orders::Call& c : member_->pending()) host_.settled({c.depot, c.held, 0, c.at_ms}, false);
   return true;
 }
 
--- a/tests/fleet_process_test.cpp
+++ b/tests/fleet_process_test.cpp
@@ -138,9 +138,16 @@
       [&] { return d.ask(3, "POST", kOut + "1").find("not the fleet's yet") != std::string::npos; }));
   CHECK(d.heeded(3) == 0);
   CHECK(d.ready(4));
-  std::this_thread::sleep_for(std::chrono::seconds(10));  // so long there is no majority
   const int waiting = std::stoi(Doormen::field(d.status(3), "waiting"));
   CHECK(waiting >= 1);
+  // Killed and started again it still holds there.
+  Serving caches(d.site.caches);
+  d.kill(3);
+  d.start(3);
+  REQUIRE(Doormen::until([&] { return Doormen::field(d.status(3), "waiting") == std::to_string(waiting); }));
+  CHECK(ask_at(d, 3, 5000, 20).served == 20);
+  CHECK(caches.asked(0) == 0);
+  std::this_thread::sleep_for(std::chrono::seconds(10));  // so long there is no majority
   d.start(0);
   REQUIRE(d.wait_owner({0, 2, 3, 4}) != Doormen::npos);
   CHECK(Doormen::until([&] { return Doormen::field(d.status(3), "waiting") == "0"; }));
