--- a/src/fleet/agreement/proposer.cpp
+++ b/src/fleet/agreement/proposer.cpp
@@ -1,7 +1,6 @@
 #include "fleet/agreement/proposer.hpp"
 
 #include <algorithm>
-#include <limits>
 
 #include "fleet/agreement/mistakes.hpp"
 
@@ -239,15 +238,6 @@
   for (const std::string& key : given_up) end(key, Result::What::kUnknown, {});
 }
 
-std::int64_t Proposer::next_ms() const {
-  std::int64_t next = std::numeric_limits<std::int64_t>::max();
-  for (const auto& [key, op] : ops_) {
-    next = std::min({next, op.until_ms, op.began_ms + limits_.give_up_ms});
-    if (op.phase != Phase::kPause) next = std::min(next, op.resend_ms);
-  }
-  return next;
-}
-
 bool Proposer::agreed(const std::string& key, std::uint64_t seat) const {
   const auto it = ops_.find(key);
   return it != ops_.end() && it->second.agreed.contains(seat);
--- a/src/fleet/agreement/proposer.hpp
+++ b/src/fleet/agreement/proposer.hpp
@@ -54,14 +54,11 @@
   // One at a time a key. 0: there is one already, or nobody to ask.
   std::uint64_t begin(const std::string& key, Change change, std::int64_t now_ms, Mode mode = Mode::kChange);
   bool busy(const std::string& key) const { return ops_.contains(key); }
-  void drop(const std::string& key) { ops_.erase(key); }
 
   void heard(const std::string& from, const Message& message, std::int64_t now_ms);
   void tick(std::int64_t now_ms);
   std::vector<Out> take_out() { return std::exchange(out_, {}); }
   std::vector<Result> take_results() { return std::exchange(results_, {}); }
-  // When `tick` has something to do.
-  std::int64_t next_ms() const;
 
   struct Counters {
     std::uint64_t rounds = 0, fast = 0, refused = 0, abstained = 0, unknown = 0, resent = 0;
--- a/src/fleet/part/part.cpp
+++ b/src/fleet/part/part.cpp
@@ -175,9 +175,7 @@
   if (!member_->call(depot, held, unix_ms(), now())) {
     return "too many calls of here are not the fleet's yet: this one will not be";
   }
-  const bool settled = member_->pending().empty();
   carry_out();
-  if (settled) return "the fleet has it";
   if (member_->ownerless(member::kHolds, now())) {
     return "it is not the fleet's yet, which has no owner for it now, and becomes so later";
   }
