Take machines out for work: jobs, pictures, permits and steps, from door to door

Need: depots and doormans are taken out by hand, one call after another. The duty 'work' now has an owner that takes a job through: POST /_work/take at any door, a plan in rounds, and each machine from announced to done, every change one compare-and-set under the owner's term.

Not taken: permits granted by the owner, since one that wakes late could grant one that the next owner does not know of. Doormans put their names on a list before they first read; the owner reads the list after each picture.

--- a/src/door/calls.cpp
+++ b/src/door/calls.cpp
@@ -17,17 +17,25 @@
 struct Row {
   std::string_view method, path;
   Call::What what;
-  enum class Then { kNothing, kDepot, kNames } then;  // how the path goes on
-  bool fleet = false;                                 // there only where there is a fleet
+  enum class Then { kNothing, kDepot, kName, kNames } then;  // how the path goes on
+  bool fleet = false;                                        // there only where there is a fleet
 };
 using Then = Row::Then;
-constexpr std::array<Row, 7> kRows{{{"GET", "/_ready", Call::What::kReady, Then::kNothing},
-                                    {"POST", "/_depots/detach/", Call::What::kDetach, Then::kDepot},
-                                    {"POST", "/_depots/attach/", Call::What::kAttach, Then::kDepot},
-                                    {"POST", "/_lameduck/on", Call::What::kDuckOn, Then::kNothing},
-                                    {"POST", "/_lameduck/off", Call::What::kDuckOff, Then::kNothing},
-                                    {"GET", "/_fleet", Call::What::kFleet, Then::kNothing, true},
-                                    {"POST", "/_fleet/replace/", Call::What::kReplace, Then::kNames, true}}};
+constexpr std::array<Row, 15> kRows{{{"GET", "/_ready", Call::What::kReady, Then::kNothing},
+                                     {"POST", "/_depots/detach/", Call::What::kDetach, Then::kDepot},
+                                     {"POST", "/_depots/attach/", Call::What::kAttach, Then::kDepot},
+                                     {"POST", "/_lameduck/on", Call::What::kDuckOn, Then::kNothing},
+                                     {"POST", "/_lameduck/off", Call::What::kDuckOff, Then::kNothing},
+                                     {"GET", "/_fleet", Call::What::kFleet, Then::kNothing, true},
+                                     {"POST", "/_fleet/replace/", Call::What::kReplace, Then::kNames, true},
+                                     {"POST", "/_work/take", Call::What::kWorkTake, Then::kNothing, true},
+                                     {"POST", "/_work/stop/", Call::What::kWorkStop, Then::kName, true},
+                                     {"POST", "/_work/pause/", Call::What::kWorkPause, Then::kName, true},
+                                     {"POST", "/_work/resume/", Call::What::kWorkResume, Then::kName, true},
+                                     {"POST", "/_work/back/", Call::What::kWorkBack, Then::kNames, true},
+                                     {"POST", "/_work/gone/", Call::What::kWorkGone, Then::kName, true},
+                                     {"GET", "/_work/", Call::What::kWorkJob, Then::kName, true},
+                                     {"GET", "/_work", Call::What::kWork, Then::kNothing, true}}};
 constexpr std::size_t kMostName = 32;  // of a member
 
 std::string_view reason(int status) {
@@ -67,12 +75,17 @@
       return routed;
     }
     if (row.then == Then::kNothing) return routed;
+    const auto is_name = [](std::string_view s) {
+      return !s.empty() && s.size() <= kMostName && s.find('/') == std::string_view::npos;
+    };
+    if (row.then == Then::kName) {
+      routed.call.out = path.substr(row.path.size());
+      if (!is_name(routed.call.out)) routed.status = 400;
+      return routed;
+    }
     if (row.then == Then::kNames) {
       std::string_view in = path.substr(row.path.size());
       const std::string_view out = depot::cut(in, '/');
-      const auto is_name = [](std::string_view s) {
-        return !s.empty() && s.size() <= kMostName && s.find('/') == std::string_view::npos;
-      };
       if (!is_name(out) || !is_name(in)) routed.status = 400;
       routed.call.out = out;
       routed.call.in = in;
--- a/src/door/calls.hpp
+++ b/src/door/calls.hpp
@@ -12,10 +12,26 @@
 namespace anisewick::door {
 
 struct Call {
-  enum class What { kReady, kDetach, kAttach, kDuckOn, kDuckOff, kFleet, kReplace };
+  enum class What {
+    kReady,
+    kDetach,
+    kAttach,
+    kDuckOn,
+    kDuckOff,
+    kFleet,
+    kReplace,
+    kWorkTake,
+    kWorkStop,
+    kWorkPause,
+    kWorkResume,
+    kWorkBack,
+    kWorkGone,
+    kWorkJob,
+    kWork
+  };
   What what = What::kReady;
   depot::Id depot = 0;  // of detach and attach
-  std::string out, in;  // of kReplace: members' names
+  std::string out, in;  // of kReplace: members' names; of work: a job or a doorman, and a machine
 };
 
 // What a method and a path ask for. `status` 0: `call` is good; else how it is turned down (400, 404, 405).
--- a/src/fleet/agreement/mistakes.hpp
+++ b/src/fleet/agreement/mistakes.hpp
@@ -26,6 +26,16 @@
   kGateOpen,          // the gate heeds lower terms
   kNoFence,           // a new owner does not fence the registers of its duty
   kCallTwice,         // a call that was settled is settled again when it is repeated
+  // Of work on machines:
+  kPermitFromAnswer,  // a doorman counts its permit from the answer
+  kPermitNeverEnds,   // and uses what is announced without one
+  kWorkNotFenced,     // an old owner's change of the picture is taken
+  kRollUnread,        // the list of doormans is read once, not after each picture
+  kSilenceConfirms,   // a doorman that is silent is taken for one that sends nothing
+  kOpenIgnored,       // what is open at a machine does not count
+  kAskedUnheeded,     // a machine is asked out before all have heeded that it comes
+  kWordBeforeDisk,    // a doorman says that it heeds a picture before that is on disk
+  kPictureForgotten,  // the picture is not kept over a restart
   kUnsureHeeds,       // a member with an empty disk heeds whoever speaks first, without reading the register
 };
 
--- a/src/fleet/agreement/register.hpp
+++ b/src/fleet/agreement/register.hpp
@@ -18,7 +18,7 @@
 
 constexpr std::size_t kMostValue = 1024;  // bytes of a register
 constexpr std::size_t kMostKey = 32;
-constexpr std::size_t kMostRegisters = 64;  // of a fleet
+constexpr std::size_t kMostRegisters = 128;  // of a fleet
 constexpr std::size_t kMostSeats = 7;
 
 // Of two, the one with the higher number is the later; equal numbers are told apart by the proposer, which is
--- a/src/fleet/member/member.cpp
+++ b/src/fleet/member/member.cpp
@@ -30,6 +30,8 @@
 constexpr std::int64_t kBehindMs = 60;  // between two rounds of an owner to those who are behind
 constexpr std::size_t kBehindAtOnce = 16;
 constexpr std::int64_t kSettleLeases = 10;  // so long another must be the first heir before a duty moves
+constexpr std::int64_t kWordMs = 250;       // between two words on machines in progress
+constexpr std::int64_t kWordNewsMs = 30;    // where something has changed
 constexpr int kCutOff = 5;                  // of Swim's health: it may be we who are cut off
 
 const std::string kDutyKey = "duty.";
@@ -83,6 +85,17 @@
     p.sure = gate_.highest(duty.name) > 0 || mistaken(Mistake::kUnsureHeeds);
     posts_.emplace(duty.name, std::move(p));
   }
+  if (posts_.contains(work::kDuty)) {
+    crew_ = std::make_unique<work::Crew>(
+        settings_.name, session_, settings_.work, saved.work,
+        [this](const std::string& machine) {
+          const auto id = depot::id_from(machine);
+          const orders::Entry* e = id ? order_.of(*id) : nullptr;
+          return e == nullptr ? std::pair(false, std::uint64_t{0}) : std::pair(e->held, e->number);
+        },
+        [this] { return order_.upto(); });
+    crew_changed_ = crew_->changed();
+  }
   swim_.join(settings_.seeds, now_ms);
   if (voter_.founded()) proposer_.know(voter_.saved().fleet, voter_.saved().voters);
 }
@@ -152,13 +165,16 @@
     t.from = std::min(from, order_.upto());
     t.entries = order_.since(t.from, talk::kMostTold, t.to);
   }
+  if (duty == work::kDuty && crew_) {
+    t.known = std::max(crew_->permit().now().number, crew_->steps().now().number);
+  }
   return t;
 }
 
 Talk Member::ask(const std::string& duty, bool answer) const {
   Talk t = tell(duty, order_.upto());
   t.kind = Talk::Kind::kAsk;
-  t.known = duty == kHolds ? order_.upto() : 0;
+  if (duty == kHolds) t.known = order_.upto();
   t.entries.clear();
   t.answer = answer;
   return t;
@@ -180,11 +196,16 @@
   save.state.calls.assign(calls_.begin(), calls_.end());
   for (const auto& [depot, entry] : order_.entries()) save.state.order.push_back(entry);
   save.state.upto = order_.upto();
+  if (crew_) save.state.work = crew_->saved();
   return save;
 }
 
 void Member::persisted(std::uint64_t version, std::int64_t now_ms) {
   persisted_ = std::max(persisted_, version);
+  while (!crew_saves_.empty() && crew_saves_.front().first <= persisted_) {
+    crew_->durable(crew_saves_.front().second);
+    crew_saves_.pop_front();
+  }
   settle(now_ms);
 }
 
@@ -197,6 +218,8 @@
   duties(now_ms);
   push_calls(now_ms);
   gossip(now_ms);
+  machines(now_ms);
+  say_word(now_ms);
   proposer_.tick(now_ms);
   settle(now_ms);
 }
@@ -319,6 +342,13 @@
       continue;
     }
     std::uint64_t higher = 0;
+    if (op.mapped() == Whose::kWork) {
+      if (!crew_->settled(r, now_ms, higher)) {
+        ++counters_.late_refused;
+        look(work::kDuty, higher, now_ms);
+      }
+      continue;
+    }
     if (settler_.settled(r, higher)) continue;
     ++counters_.late_refused;
     look(kHolds, higher, now_ms);
@@ -488,6 +518,9 @@
   }
   std::vector<std::string> keys = orders::shard_keys();
   for (const auto& [duty, post] : posts_) keys.push_back(kDutyKey + duty);
+  if (crew_) {
+    for (std::string& key : work::all_keys()) keys.push_back(std::move(key));
+  }
   for (auto& ask : mover_.next(proposer_.voters(), keys)) {
     using Mode = agreement::Proposer::Mode;
     const Mode mode = ask.copy ? Mode::kCopy : Mode::kChange;
@@ -496,6 +529,67 @@
   }
 }
 
+// Work on machines: what its registers are asked, and what became of it.
+void Member::machines(std::int64_t now_ms) {
+  if (!crew_) return;
+  Post& p = *post(work::kDuty);
+  const bool mine = (settings_.careless ? p.tenure.held() : p.tenure.owns(now_ms)) && !p.releasing;
+  crew_->own(mine ? p.tenure.term() : 0, now_ms);
+  if (proposer_.voters().epoch != 0) {
+    for (work::Ask& ask : crew_->next(now_ms, now_ms + ahead_ms_)) {
+      using Mode = agreement::Proposer::Mode;
+      const Mode mode = ask.read ? Mode::kRead : Mode::kChange;
+      const std::uint64_t op = proposer_.begin(ask.key, std::move(ask.change), now_ms, mode);
+      op == 0 ? crew_->again(ask.key) : void(ops_[op] = Whose::kWork);
+    }
+  }
+  for (const auto& change : crew_->steps().take_changes()) {
+    note("work", work::kDuty, p.tenure.term(), change.machine, change.state);
+  }
+  for (const auto& said : crew_->take_said()) {
+    note("work_call", work::kDuty, 0, said.wish.job + said.wish.machine,
+         std::string(work::word(said.wish.what)) + ": " + said.what);
+  }
+  for (const std::string& machine : crew_->steps().take_holds()) {
+    if (const auto id = depot::id_from(machine)) call(*id, true, now_ms + ahead_ms_, now_ms);
+  }
+  if (crew_->changed() == crew_changed_) return;
+  crew_changed_ = crew_->changed();
+  dirty();
+  crew_saves_.emplace_back(version(), crew_changed_);
+}
+
+// What it sees of the machines in progress, to whoever sees to them.
+void Member::say_word(std::int64_t now_ms) {
+  if (!crew_) return;
+  const auto word = crew_->word_now();
+  if (!word) return;
+  std::string bytes = work::encode(*word);
+  const bool news = bytes != last_word_;
+  if (now_ms < (news ? next_word_ms_ - kWordMs + kWordNewsMs : next_word_ms_)) return;
+  next_word_ms_ = now_ms + kWordMs;
+  last_word_ = bytes;
+  if (crew_->steps().working()) return crew_->heard(settings_.name, *word, now_ms);
+  const auto [owner, term] = this->owner(work::kDuty);
+  if (owner.empty() || owner == settings_.name) return;
+  Talk t;
+  t.kind = Talk::Kind::kWord;
+  t.duty = work::kDuty;
+  t.term = term;
+  t.owner = owner;
+  t.word = std::move(bytes);
+  say_to(owner, std::move(t));
+}
+
+std::string Member::work_call(work::Wish wish, std::int64_t now_ms) {
+  if (!crew_) return "the duty 'work' is not among this fleet's duties";
+  wish.id = random_() | 1;
+  std::string why = crew_->call(std::move(wish));
+  machines(now_ms);
+  settle(now_ms);
+  return why;
+}
+
 std::string Member::replace(const std::string& out, const std::string& in, std::int64_t now_ms) {
   if (!owns(kHolds, now_ms)) {
     const auto [owner, term] = this->owner(kHolds);
@@ -683,6 +777,8 @@
   using Kind = Talk::Kind;
   Post* p = post(t.duty);
   if (p == nullptr) return;
+  // A number alone, by which the register is read: nobody can do harm by it.
+  if (crew_ && t.duty == work::kDuty) crew_->spoken_of(t.known);
   switch (t.kind) {
     case Kind::kTell: {
       if (t.term == 0) {  // nobody has owned it yet, as far as they know
@@ -717,7 +813,8 @@
         if (t.term >= gate_.highest(t.duty)) life(*p, t.owner, t.term, t.renewal, now_ms);
       }
       const bool fresher = p->term > t.term || (p->term == t.term && p->renewal > t.renewal) ||
-                           (t.duty == kHolds && order_.upto() > t.known);
+                           (t.duty == kHolds && order_.upto() > t.known) ||
+                           (t.duty == work::kDuty && crew_ && crew_->permit().now().number > t.known);
       if (fresher || t.answer) {
         Talk back = tell(t.duty, t.known);
         back.answer = t.answer;
@@ -759,6 +856,11 @@
       if (t.duty == kHolds && t.known > order_.upto()) say(address, ask(kHolds, false));
       return;
     }
+    case Kind::kWord: {
+      if (!crew_ || t.duty != work::kDuty || !crew_->steps().working()) return;
+      if (const auto word = work::word_from(t.word)) crew_->heard(from, *word, now_ms);
+      return;
+    }
     case Kind::kHeeded: {
       if (!p->tenure.held() || !swim_.members().contains(from)) return;
       std::uint64_t& known = heeded_by_[from];
@@ -798,6 +900,21 @@
     if (behind.size() > kBehindAtOnce) behind.resize(kBehindAtOnce);
     for (const auto& [at, known] : behind) say(at, tell(kHolds, known));
   }
+  // Likewise of work: those who have not heeded the picture are told that there is one.
+  if (crew_ && crew_->steps().fenced() && now_ms >= next_work_ms_) {
+    next_work_ms_ = now_ms + kBehindMs;
+    std::vector<Address> behind;
+    for (const auto& [name, m] : swim_.members()) {
+      if (m.state == membership::State::kAlive && crew_->steps().behind(name))
+        behind.push_back(m.peer.gossip);
+    }
+    std::shuffle(behind.begin(), behind.end(), random_);
+    if (behind.size() > kBehindAtOnce) behind.resize(kBehindAtOnce);
+    const bool any = !crew_->steps().now().active.empty();
+    for (const Address& at : behind) {
+      if (any) say(at, tell(work::kDuty, 0));
+    }
+  }
   if (!caught_up_ && proposer_.voters().epoch != 0 && now_ms >= next_gossip_ms_) {
     for (const auto& [name, address] : settings_.voters) {
       if (name != settings_.name) say(address, ask(kHolds, true));
--- a/src/fleet/member/member.hpp
+++ b/src/fleet/member/member.hpp
@@ -29,6 +29,7 @@
 #include "fleet/ownership/heirs.hpp"
 #include "fleet/ownership/tenure.hpp"
 #include "fleet/talk/talk.hpp"
+#include "fleet/work/crew.hpp"
 
 namespace anisewick::member {
 
@@ -46,6 +47,7 @@
   agreement::Proposer::Limits proposer;
   std::int64_t gossip_ms = 500;  // between two questions to somebody, by lot
   std::int64_t young_ms = 3000;  // up for less: no heir while there is another
+  work::Times work;              // where `work` is one of the duties
   // For a fault test alone: the owner does not look at its lease before it acts.
   bool careless = false;
 };
@@ -88,6 +90,13 @@
   void leave(std::int64_t now_ms);
   // A voter is to be replaced: this member sees to it, once it owns the first duty, whichever it is.
   std::string replace(const std::string& out, const std::string& in, std::int64_t now_ms);
+  // Unix time is so far ahead of the monotonic clock.
+  void wall(std::int64_t ahead_ms) { ahead_ms_ = ahead_ms; }
+  // Work on machines; nullptr: it is not one of the duties.
+  work::Crew* crew() { return crew_.get(); }
+  const work::Crew* crew() const { return crew_.get(); }
+  // Staff's call on a job. Empty: it is taken, and will be in the registers once there is a majority.
+  std::string work_call(work::Wish wish, std::int64_t now_ms);
 
   std::vector<Out> take_out() { return std::exchange(out_, {}); }
   std::optional<Save> take_save();
@@ -95,7 +104,7 @@
   std::vector<Note> take_notes() { return std::exchange(notes_, {}); }
 
   // It has heard from the owner, or from a majority of the voters, how far the order goes, and heeds it.
-  bool caught_up() const { return caught_up_; }
+  bool caught_up() const { return caught_up_ && (!crew_ || crew_->caught_up()); }
   bool owns(const std::string& duty, std::int64_t now_ms) const;
   // The owner as far as it is known here, with its term; empty: none is.
   std::pair<std::string, std::uint64_t> owner(const std::string& duty) const;
@@ -139,7 +148,7 @@
   };
   // Whose each operation on a register is. By the key it could not be told: one may end and another begin on
   // it within the same call.
-  enum class Whose { kDuty, kOrder, kVoters };
+  enum class Whose { kDuty, kOrder, kVoters, kWork };
   struct Held {  // an answer that waits for the disk
     std::uint64_t version = 0;
     std::string to;
@@ -161,6 +170,8 @@
   void became(const std::string& duty, Post& post, ownership::Tenure::Change change, const char* why,
               std::int64_t now_ms);
   void work(std::int64_t now_ms);
+  void machines(std::int64_t now_ms);
+  void say_word(std::int64_t now_ms);
   void find_voters(std::int64_t now_ms);
   void push_calls(std::int64_t now_ms);
   void gossip(std::int64_t now_ms);
@@ -185,7 +196,8 @@
   Post* post(const std::string& duty);
   // What was begun as the owner is of no use to another tenure.
   void forget_ops() {
-    std::erase_if(ops_, [](const auto& kv) { return kv.second != Whose::kDuty; });
+    std::erase_if(ops_,
+                  [](const auto& kv) { return kv.second == Whose::kOrder || kv.second == Whose::kVoters; });
   }
   void note(std::string event, std::string duty = {}, std::uint64_t term = 0, std::string owner = {},
             std::string reason = {}) {
@@ -219,6 +231,11 @@
   std::deque<Waiting> waiting_;
   std::uint64_t raised_ = 0;  // the version with the last term that was raised, by whatever message
   std::uint64_t state_version_ = 1, saving_ = 0, persisted_ = 0;
+  std::unique_ptr<work::Crew> crew_;
+  std::uint64_t crew_changed_ = 0;                                  // that is in state_version_
+  std::deque<std::pair<std::uint64_t, std::uint64_t>> crew_saves_;  // versions, and what changed with them
+  std::int64_t ahead_ms_ = 0, next_word_ms_ = 0, next_work_ms_ = 0;
+  std::string last_word_;
 
   std::int64_t started_ms_, next_gossip_ms_ = 0, next_find_ms_ = 0, next_push_ms_ = 0, next_ranks_ms_ = 0,
                             next_behind_ms_ = 0;
--- a/src/fleet/part/part.cpp
+++ b/src/fleet/part/part.cpp
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "fleet.pb.h"
+#include "fleet/part/jobs.hpp"
 
 namespace anisewick::part {
 namespace {
@@ -86,6 +87,26 @@
   member_ = std::make_unique<member::Member>(
       settings_.member, session_, static_cast<std::uint64_t>(unix_ms()), std::move(*saved), drawn(), now());
   member_->gone_by([this](depot::Id id) { return host_.gone(id); });
+  if (work::Crew* crew = member_->crew()) {
+    crew->sees({[this](const std::string& depot) {
+                  work::Line line{depot};
+                  const auto id = depot::id_from(depot);
+                  if (!id) return line;
+                  const service::Seen seen = host_.look(*id);
+                  line.open = seen.open;
+                  line.needed = seen.needed;
+                  line.born_ms = seen.born_ms;
+                  line.answers = seen.answers;
+                  line.fills = seen.fills;
+                  line.gone = seen.gone;
+                  return line;
+                },
+                [this](const std::string& depot) {
+                  const auto id = depot::id_from(depot);
+                  return id && host_.look(*id).ready;
+                },
+                host_.serving, host_.idle});
+  }
   pool_ = std::make_unique<disk::Pool>(disk::Pool::Limits{1, 8},
                                        [this](std::function<void()> f) { asio::post(io_, std::move(f)); });
   if (const auto failed = carrier_.open(settings_.listen); failed) {
@@ -102,6 +123,7 @@
 void Part::tick() {
   const auto at = std::chrono::steady_clock::now();
   late_ms_ = std::max(late_ms_, std::chrono::duration<double, std::milli>(at - due_).count());
+  member_->wall(unix_ms() - now());
   member_->tick(now());
   carry_out();
   due_ = at + kTick;
@@ -111,11 +133,43 @@
   });
 }
 
+// What is left alone is so before anybody is told.
+void Part::leave() {
+  const work::Crew* crew = member_->crew();
+  if (crew == nullptr) return;
+  const std::vector<std::string> left = crew->left(now());
+  const work::Now& picture = crew->permit().now();
+  if (left != left_ || picture.number != picture_) {
+    left_ = left;
+    picture_ = picture.number;
+    std::vector<depot::Id> ids;
+    for (const std::string& depot : left) {
+      if (const auto id = depot::id_from(depot)) ids.push_back(*id);
+    }
+    std::map<depot::Id, std::int64_t> back;
+    for (const work::Active& a : picture.active) {
+      const auto id = depot::id_from(a.machine);
+      if (a.state == work::State::kBack && id) back[*id] = a.since_ms;
+    }
+    host_.leave(ids, back);
+  }
+  if (crew->asked_out() != ducked_) {
+    ducked_ = !ducked_;
+    log_.say(Level::kInfo, "asked_out", {{"reason", ducked_ ? "in a drain for work" : "in service again"}});
+    host_.duck(ducked_);
+  }
+}
+
 void Part::carry_out() {
+  leave();
   for (member::Out& out : member_->take_out()) {
     std::visit([&](const auto& what) { carrier_.send(out.to, what); }, out.what);
   }
   for (const member::Note& n : member_->take_notes()) {
+    if (n.event == "work_call") {
+      said_.push_back(n.owner + ", " + n.reason);
+      if (said_.size() > kSaid) said_.pop_front();
+    }
     const Level level = n.event == "heeded"             ? Level::kDebug
                         : n.event == "late_act_refused" ? Level::kWarn
                                                         : Level::kInfo;
@@ -202,6 +256,52 @@
   return why;
 }
 
+std::pair<int, std::string> Part::take() {
+  if (settings_.work_file.empty()) return {409, "this doorman's settings name no file of work"};
+  std::vector<settings::Finding> findings;
+  std::string name;
+  auto file = load_job(settings_.work_file, name, findings);
+  if (!file) {
+    std::string text;
+    for (const settings::Finding& f : findings) text += (text.empty() ? "" : "\n") + f.text();
+    return {400, text};
+  }
+  const std::string why = member_->work_call({work::Wish::What::kTake, name, {}, 0, std::move(*file)}, now());
+  carry_out();
+  if (!why.empty()) return {503, why};
+  return {200, name + " is on its way to the fleet: see GET /_work/" + name};
+}
+
+std::pair<int, std::string> Part::work(Work what, const std::string& job, const std::string& machine) {
+  using What = work::Wish::What;
+  work::Crew* crew = member_->crew();
+  if (crew == nullptr) return {409, "the duty 'work' is not among this fleet's duties"};
+  if (what == Work::kTake) return take();
+  if (what == Work::kJob || what == Work::kAll) {
+    crew->look_at_jobs(now());
+    if (crew->library().read_ms() < 0) return {503, "the registers are being read: ask again"};
+    const std::string owner = "owner: " + member_->owner(work::kDuty).first;
+    if (what == Work::kJob) {
+      const std::string text = job_text(*crew, job, now(), unix_ms());
+      return text.empty() ? std::pair{404, "nobody has heard of " + job} : std::pair{200, text + owner};
+    }
+    std::string text = jobs_text(*crew);
+    for (const std::string& said : said_) text += "call: " + said + "\n";
+    return {200, text + owner};
+  }
+  static const std::map<Work, What> kWhat{{Work::kStop, What::kStop},
+                                          {Work::kPause, What::kPause},
+                                          {Work::kResume, What::kResume},
+                                          {Work::kBack, What::kBack},
+                                          {Work::kGone, What::kGone}};
+  const bool gone = what == Work::kGone;
+  const std::string why =
+      member_->work_call({kWhat.at(what), gone ? "" : job, gone ? job : machine, 0, {}}, now());
+  carry_out();
+  if (!why.empty()) return {503, why};
+  return {200, "it is on its way to the fleet: see GET /_work"};
+}
+
 std::string Part::status() {
   anisewick::settings::FleetStatus s;
   const auto n = [](std::uint64_t value) { return static_cast<std::uint32_t>(value); };
--- a/src/fleet/part/part.hpp
+++ b/src/fleet/part/part.hpp
@@ -3,6 +3,7 @@
 #ifndef ANISEWICK_FLEET_PART_PART_HPP_
 #define ANISEWICK_FLEET_PART_PART_HPP_
 
+#include <deque>
 #include <memory>
 #include <string>
 
@@ -28,8 +29,12 @@
   std::string status() override;
   void report() override;
   std::string replace(const std::string& out, const std::string& in) override;
+  std::pair<int, std::string> work(Work what, const std::string& job, const std::string& machine) override;
 
  private:
+  static constexpr std::size_t kSaid = 8;  // last calls that are shown
+  void leave();
+  std::pair<int, std::string> take();
   std::int64_t now() const;      // monotonic, by this member's clock
   std::int64_t unix_ms() const;  // likewise
   void tick();
@@ -50,6 +55,10 @@
   std::int64_t pause_ms_ = 0;
   std::uint64_t writes_ = 0, failed_writes_ = 0;
   double late_ms_ = 0.0;  // the latest tick
+  std::vector<std::string> left_;
+  std::uint64_t picture_ = 0;
+  bool ducked_ = false;           // for work
+  std::deque<std::string> said_;  // of calls on work
   std::chrono::steady_clock::time_point due_{};
 };
 
--- a/src/fleet/part/settings.cpp
+++ b/src/fleet/part/settings.cpp
@@ -47,6 +47,7 @@
     voters();
     duties();
     times();
+    work();
     rest();
     if (!reader_.findings().empty()) return std::nullopt;
     return s_;
@@ -209,6 +210,22 @@
     m.young_ms = f_.young_ms();
   }
 
+  void work() {
+    const auto& w = f_.work();
+    const Tree* in = Reader::within(top_, f_, "work");
+    reader_.range(in, w, "permit_ms", 300, 60'000, "milliseconds");
+    reader_.range(in, w, "longest_ms", 100, 600'000, "milliseconds");
+    reader_.range(in, w, "calm_ms", 0, 3'600'000, "milliseconds");
+    s_.work_file = w.file();
+    s_.member.work = {w.permit_ms(), f_.drift_ppm(), w.longest_ms(), w.calm_ms()};
+    const bool duty = std::any_of(s_.member.duties.begin(), s_.member.duties.end(),
+                                  [](const ownership::Duty& d) { return d.name == anisewick::work::kDuty; });
+    if (f_.has_work() && !duty) {
+      find("work",
+           "there are settings of work, and no such duty: write duties { name: \"work\" } in all files");
+    }
+  }
+
   void rest() {
     const auto& d = f_.doorman();
     s_.config = d.config();
--- a/src/fleet/part/settings.hpp
+++ b/src/fleet/part/settings.hpp
@@ -22,6 +22,7 @@
   std::string folder;
   std::vector<peers::Key> keys;
   std::int64_t window_ms = 30'000;  // of the seal
+  std::string work_file;            // empty: no jobs are taken here
   std::string config, relay, door;  // of the doorman; empty: by the environment
   std::int64_t clock_ahead_ms = 0;
   double clock_rate = 1.0;
--- a/src/fleet/talk/talk.cpp
+++ b/src/fleet/talk/talk.cpp
@@ -64,11 +64,12 @@
   for (const orders::Entry& e : t.entries) to(e, *out.add_entries());
   if (t.kind == Talk::Kind::kCall || t.kind == Talk::Kind::kSettled) to(t.call, *out.mutable_call());
   out.set_verdict(t.verdict);
+  out.set_word(t.word);
   out.set_answer(t.answer);
 }
 bool talk_from(const wire::Talk& t, Talk& out) {
   if (t.kind() < static_cast<std::uint32_t>(Talk::Kind::kTell) ||
-      t.kind() > static_cast<std::uint32_t>(Talk::Kind::kHeeded) || t.duty().empty() ||
+      t.kind() > static_cast<std::uint32_t>(Talk::Kind::kWord) || t.duty().empty() ||
       t.duty().size() > kMostName || t.owner().size() > kMostName || t.from() > t.to() ||
       t.entries_size() > static_cast<int>(kMostTold))
     return false;
@@ -82,6 +83,7 @@
   out.known = t.known();
   out.call = from(t.call());
   out.verdict = static_cast<std::uint8_t>(t.verdict());
+  out.word = t.word();
   out.answer = t.answer();
   return all_from(t.entries(), out.entries);
 }
@@ -149,6 +151,7 @@
   for (const orders::Call& c : saved.calls) to(c, *out.add_calls());
   for (const orders::Entry& e : saved.order) to(e, *out.add_entries());
   out.set_upto(saved.upto);
+  out.set_work(saved.work);
   return out.SerializeAsString();
 }
 
@@ -168,6 +171,7 @@
   for (const auto& c : in.calls()) out.calls.push_back(from(c));
   if (!all_from(in.entries(), out.order)) return std::nullopt;
   out.upto = in.upto();
+  out.work = in.work();
   return out;
 }
 
--- a/src/fleet/talk/talk.hpp
+++ b/src/fleet/talk/talk.hpp
@@ -24,7 +24,8 @@
     kSettled,   // to whose call it was
     kRelease,   // the owner has given the duty up: the heir may take it at once
     kRefused,   // an act came with a lower term than `term`
-    kHeeded     // to the owner: up to `known` all is heeded here
+    kHeeded,    // to the owner: up to `known` all is heeded here
+    kWord       // to the owner of work: what is seen of the machines in progress
   };
   Kind kind = Kind::kTell;
   std::string duty;
@@ -35,6 +36,7 @@
   std::vector<orders::Entry> entries;
   orders::Call call;
   std::uint8_t verdict = 0;
+  std::string word;  // of kWord: the bytes of a work::Word
   bool answer = false;
 };
 
@@ -59,6 +61,7 @@
   std::vector<orders::Call> calls;   // taken here and not settled yet
   std::vector<orders::Entry> order;  // what was heeded
   std::uint64_t upto = 0;
+  std::string work;  // of work::Crew
 };
 std::string bytes_of(const Saved& saved);
 std::optional<Saved> saved_from(std::string_view bytes);
--- a/src/holds/holds.cpp
+++ b/src/holds/holds.cpp
@@ -29,9 +29,15 @@
   if (event.kind == Kind::kWholeList) {
     for (auto& [id, depot] : told_) depot.state = bus::State::kGone;
   }
-  for (bus::Depot& d : event.depots) {
-    told_[d.id] = d;
-    d = effective(d);
+  for (const bus::Depot& d : event.depots) told_[d.id] = d;
+  for (bus::Depot& d : event.depots) d = effective(d);
+  // What is needed may have changed with the rest.
+  for (const depot::Id id : left_) {
+    const bool there = std::any_of(event.depots.begin(), event.depots.end(),
+                                   [&](const bus::Depot& d) { return d.id == id; });
+    if (const auto it = told_.find(id); !there && it != told_.end()) {
+      event.depots.push_back(effective(it->second));
+    }
   }
   trim();
   return event;
@@ -54,6 +60,34 @@
   return was == word.held && it != marks_.end() ? bus::Event{} : change_of({word.depot});
 }
 
+bus::Event Holds::leave(const std::vector<depot::Id>& left, const std::map<depot::Id, std::int64_t>& back) {
+  std::set<depot::Id> next(left.begin(), left.end()), changed = left_;
+  if (next == left_ && back == back_) return {};
+  changed.insert(next.begin(), next.end());
+  for (const auto& [id, at_ms] : back) changed.insert(id);
+  left_ = std::move(next);
+  // Those that are no longer spoken of stay as started as they were.
+  for (const auto& [id, at_ms] : back) back_[id] = at_ms;
+  while (back_.size() > kMostBack) back_.erase(back_.begin());
+  return change_of({changed.begin(), changed.end()});
+}
+
+bool Holds::needed(depot::Id id) const {
+  const auto it = told_.find(id);
+  if (!left_.contains(id) || it == told_.end() || it->second.state != bus::State::kReady) return false;
+  for (const auto& [other, d] : told_) {
+    if (d.kind != it->second.kind || d.zone != it->second.zone || d.state != bus::State::kReady) continue;
+    const auto mark = marks_.find(other);
+    if (!left_.contains(other) && (mark == marks_.end() || !mark->second.held)) return false;
+  }
+  return true;
+}
+
+const bus::Depot* Holds::told(depot::Id id) const {
+  const auto it = told_.find(id);
+  return it == told_.end() ? nullptr : &it->second;
+}
+
 bool Holds::gone(depot::Id id) const {
   const auto it = told_.find(id);
   return it == told_.end() || it->second.state == bus::State::kGone;
@@ -76,6 +110,10 @@
 
 bus::Depot Holds::effective(const bus::Depot& told) const {
   bus::Depot d = told;
+  if (left_.contains(d.id) && d.state == bus::State::kReady && !needed(d.id)) d.state = bus::State::kDraining;
+  if (const auto back = back_.find(d.id); back != back_.end()) {
+    d.started_ms = std::max(d.started_ms, back->second);
+  }
   const auto it = marks_.find(d.id);
   if (it == marks_.end()) return d;
   if (it->second.held) {
--- a/src/holds/holds.hpp
+++ b/src/holds/holds.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 #include "bus/bus.hpp"
@@ -39,6 +40,15 @@
   // A word of the fleet, given in the order of its numbers: it stands over what was called here. What is to
   // be heeded.
   bus::Event settle(const Word& word);
+  // Work on machines: these are left alone, each but where nothing else of its kind is there in its zone;
+  // those in `back` are in service again, started then at the earliest. Stands beside staff's word, and
+  // neither undoes the other. What is to be heeded.
+  bus::Event leave(const std::vector<depot::Id>& left, const std::map<depot::Id, std::int64_t>& back);
+  // It is used all the same, for there is nothing else.
+  bool needed(depot::Id id) const;
+  // The bus's last word; nullptr: it never told of it.
+  const bus::Depot* told(depot::Id id) const;
+
   // The bus says that it is gone, or never told of it.
   bool gone(depot::Id id) const;
 
@@ -53,6 +63,7 @@
  private:
   // Known at once: more than the decisions keep.
   static constexpr std::size_t kMost = 8192;
+  static constexpr std::size_t kMostBack = 1024;
 
   bool set(const Mark& mark);
   bus::Depot effective(const bus::Depot& told) const;
@@ -61,6 +72,8 @@
 
   std::map<depot::Id, bus::Depot> told_;  // the bus's last word
   std::map<depot::Id, Mark> marks_;
+  std::set<depot::Id> left_;
+  std::map<depot::Id, std::int64_t> back_;  // from work
 };
 
 }  // namespace anisewick::holds
--- a/src/net/doorman.cpp
+++ b/src/net/doorman.cpp
@@ -17,11 +17,11 @@
   const int remark = reply.report.remark;
   switch (reply.report.end) {
     case End::kServed:
-      return {reply.same ? &Counters::kept : &Counters::done,
-              remark == kRemarkHit || remark == kRemarkStale ? Tally::kHits
-              : remark == kRemarkViaOrigin                   ? Tally::kViaOrigin
-              : remark == kRemarkJoined                      ? Tally::kJoined
-                                                             : Tally::kFilled};
+      return {reply.same ? &Counters::kept : &Counters::done, remark == kRemarkHit || remark == kRemarkStale
+                                                                  ? Tally::kHits
+                                                              : remark == kRemarkViaOrigin ? Tally::kViaOrigin
+                                                              : remark == kRemarkJoined    ? Tally::kJoined
+                                                                                           : Tally::kFilled};
     case End::kBroke:
       return {&Counters::broke, Tally::kBroke};
     case End::kFull:
@@ -44,18 +44,18 @@
 
 Doorman::Doorman(asio::io_context& io, Facade& facade, DepotPool& depots, Counters& counters,
                  const generations::Classes& classes)
-    : io_(io),
-      facade_(facade),
-      depots_(depots),
-      counters_(counters),
-      classes_(classes),
-      ticking_(io) {}
+    : io_(io), facade_(facade), depots_(depots), counters_(counters), classes_(classes), ticking_(io) {}
 
 void Doorman::heed(const bus::Event& event) {
   using Kind = bus::Event::Kind;
   const bool list = event.kind == Kind::kWholeList || event.kind == Kind::kChanges;
   ++(list ? counters_.lists : counters_.purges);
   if (event.kind == Kind::kWholeList) listed_ = true;
+  if (list && counts_) {
+    for (const bus::Depot& d : event.depots) {
+      if (d.state == bus::State::kGone) served_.erase(d.id);
+    }
+  }
   if (counters_.tallies != nullptr) {
     for (const bus::Depot& d : event.depots) counters_.tallies->told(d);
   }
@@ -143,6 +143,7 @@
   fetch.collapse = step.join;
   fetch.only_if_cached = step.held_only;
   open.depot = step.depot;
+  open.source = step.source;
   open.sent_at = now;
   counters_.tally(step.depot, Tally::kAttempts);
   if (open.held_only || open.bare) counters_.tally(step.depot, open.bare ? Tally::kBare : Tally::kHeld);
@@ -162,6 +163,11 @@
   const auto it = open_.find(ticket);
   if (it == open_.end()) return;
   if (counters_.tallies != nullptr) tally(*it->second, reply.report, what);
+  if (counts_ && reply.report.end == End::kServed) {
+    Served& s = served_[it->second->depot];
+    ++s.answers;
+    if (what != Tally::kHits) ++s.fills;
+  }
   it->second->sent = 0;
   it->second->timer.cancel();
   const Step step = facade_.report(unix_now(), ticket, reply.report);
@@ -188,6 +194,19 @@
     add(open.bare ? Tally::kLateBare : Tally::kLateHeld, 1);
 }
 
+Doorman::Served Doorman::served(depot::Id depot) const {
+  const auto it = served_.find(depot);
+  return it == served_.end() ? Served{} : it->second;
+}
+
+std::uint32_t Doorman::open(depot::Id depot) const {
+  std::uint32_t n = 0;
+  for (const auto& [ticket, open] : open_) {
+    if (open->sent != 0 && (open->depot == depot || open->source == depot)) ++n;
+  }
+  return n;
+}
+
 // The attempt's time is over. What had not gone out by then never ran.
 void Doorman::too_late(Ticket ticket) {
   DepotPool::Reply reply;
--- a/src/net/doorman.hpp
+++ b/src/net/doorman.hpp
@@ -33,6 +33,16 @@
   void fail_all();
 
   bool listed() const { return listed_; }  // there was a whole list
+
+  // From now on answers are counted by depot.
+  void count_answers() { counts_ = true; }
+  struct Served {
+    std::uint64_t answers = 0, fills = 0;
+  };
+  Served served(depot::Id depot) const;
+  // Attempts that may reach it, as the one that is asked or as a source.
+  std::uint32_t open(depot::Id depot) const;
+  bool none_open() const { return open_.empty(); }
   void taken(Ticket ticket, Call&& call) override;
   void left(Ticket ticket) override;
 
@@ -42,9 +52,10 @@
     Call call;
     DepotPool::Handle sent = 0;  // 0: no attempt is out
     depot::Id depot = 0;         // of the last attempt, and when it was sent
+    std::optional<depot::Id> source;
     std::int64_t sent_at = 0;
     bool held_only = false, bare = false;  // what it asked of its source; bare: nothing
-    asio::steady_timer timer;    // of the attempt
+    asio::steady_timer timer;              // of the attempt
   };
   void act(Ticket ticket, const Step& step);
   void send(Ticket ticket, Open& open, const Step& step);
@@ -65,6 +76,8 @@
   asio::steady_timer ticking_;
   std::unordered_map<Ticket, std::unique_ptr<Open>> open_;
   std::unordered_set<std::string> ids_;  // of the open calls
+  bool counts_ = false;
+  std::unordered_map<depot::Id, Served> served_;  // of those on the list
 };
 
 }  // namespace anisewick::net
--- a/src/service/fleet.hpp
+++ b/src/service/fleet.hpp
@@ -4,8 +4,11 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "depot/depot.hpp"
 #include "holds/holds.hpp"
@@ -13,6 +16,15 @@
 
 namespace anisewick::service {
 
+// What a doorman sees of a depot.
+struct Seen {
+  bool told = false, ready = false, gone = false;  // by the bus
+  std::int64_t born_ms = 0;                        // Unix time
+  std::uint32_t open = 0;                          // attempts that may reach it
+  bool needed = false;                             // it is used though it is to be left alone
+  std::uint64_t answers = 0, fills = 0;            // since the start
+};
+
 // What a fleet tells its doorman, on the doorman's loop.
 struct FleetHost {
   // The fleet's word on a depot; words come in the order that all settle on. `ours_waits`: a call on it that
@@ -22,6 +34,13 @@
   std::function<void()> caught_up;
   // Nobody will send to this depot any more.
   std::function<bool(depot::Id depot)> gone;
+  // Work on machines: these are left alone from now on, those are in service again, since when (Unix time).
+  std::function<void(const std::vector<depot::Id>& left, const std::map<depot::Id, std::int64_t>& back)>
+      leave;
+  std::function<Seen(depot::Id depot)> look;
+  std::function<bool()> serving;  // it says ready
+  std::function<bool()> idle;     // it is in a drain, and nothing is open
+  std::function<void(bool on)> duck;
 };
 
 // Owned by the doorman, used on its one thread; no call waits for anybody.
@@ -40,6 +59,9 @@
   virtual void report() = 0;
   // Staff want one voter for another. Empty: it is begun; else why not.
   virtual std::string replace(const std::string& out, const std::string& in) = 0;
+  // Staff's calls on work: a status of HTTP and a line, or several.
+  enum class Work { kTake, kStop, kPause, kResume, kBack, kGone, kJob, kAll };
+  virtual std::pair<int, std::string> work(Work what, const std::string& job, const std::string& machine) = 0;
 };
 
 // How a doorman gets its fleet; empty: it has none.
--- a/src/service/service.cpp
+++ b/src/service/service.cpp
@@ -87,9 +87,17 @@
     take_in(folder_->look());
   }
   if (around_.fleet) {
-    fleet_ =
-        around_.fleet(io_, {[this](const holds::Word& word, bool ours_waits) { settled(word, ours_waits); },
-                            [this] { caught_up(); }, [this](depot::Id id) { return holds_.gone(id); }});
+    fleet_ = around_.fleet(
+        io_,
+        {[this](const holds::Word& word, bool ours_waits) { settled(word, ours_waits); },
+         [this] { caught_up(); }, [this](depot::Id id) { return holds_.gone(id); },
+         [this](const auto& left, const auto& back) {
+           const bus::Event change = holds_.leave(left, back);
+           if (change.kind != bus::Event::Kind::kNothing) doorman_.heed(change);
+         },
+         [this](depot::Id id) { return seen(id); }, [this] { return running_ && life_.duty(now()).ready; },
+         [this] { return life_.duck_now() && doorman_.none_open(); }, [this](bool on) { duck(on); }});
+    doorman_.count_answers();
     life_.in_fleet();
   }
   for (const bus::Event& event : c.known) heed(event);
@@ -312,18 +320,58 @@
     }
     case What::kDuckOn:
     case What::kDuckOff:
-      look();
-      if (life_.duck(now(), call.what == What::kDuckOn)) {
-        drain_ = {call.what == What::kDuckOn, std::max(unix_ms(), drain_.at_ms + 1)};
-        if (folder_) publish();
-        if (fleet_) fleet_->drain(drain_.on || life_.phase(now()) == lifecycle::Phase::kEnding);
-        attend();
-      }
+      duck(call.what == What::kDuckOn);
       return {200, life_.duck_now() ? "emptying" : "serving"};
+    case What::kWorkTake:
+      return worked(Fleet::Work::kTake, call);
+    case What::kWorkStop:
+      return worked(Fleet::Work::kStop, call);
+    case What::kWorkPause:
+      return worked(Fleet::Work::kPause, call);
+    case What::kWorkResume:
+      return worked(Fleet::Work::kResume, call);
+    case What::kWorkBack:
+      return worked(Fleet::Work::kBack, call);
+    case What::kWorkGone:
+      return worked(Fleet::Work::kGone, call);
+    case What::kWorkJob:
+      return worked(Fleet::Work::kJob, call);
+    case What::kWork:
+      return worked(Fleet::Work::kAll, call);
   }
   return {404, "there is no such call"};
 }
 
+door::Verdict Service::worked(Fleet::Work what, const door::Call& call) {
+  auto [status, line] = fleet_->work(what, call.out, call.in);
+  return {status, std::move(line)};
+}
+
+void Service::duck(bool on) {
+  look();
+  if (!life_.duck(now(), on)) return;
+  drain_ = {on, std::max(unix_ms(), drain_.at_ms + 1)};
+  if (folder_) publish();
+  if (fleet_) fleet_->drain(drain_.on || life_.phase(now()) == lifecycle::Phase::kEnding);
+  attend();
+}
+
+Seen Service::seen(depot::Id id) const {
+  Seen s;
+  s.open = doorman_.open(id);
+  s.needed = holds_.needed(id);
+  const net::Doorman::Served served = doorman_.served(id);
+  s.answers = served.answers;
+  s.fills = served.fills;
+  const bus::Depot* told = holds_.told(id);
+  if (told == nullptr) return s;
+  s.told = true;
+  s.ready = told->state == bus::State::kReady;
+  s.gone = told->state == bus::State::kGone;
+  s.born_ms = told->started_ms;
+  return s;
+}
+
 void Service::settled(const holds::Word& word, bool ours_waits) {
   if (ours_waits) return;  // it will be settled too, and then has a higher number
   const bus::Event change = holds_.settle(word);
--- a/src/service/service.hpp
+++ b/src/service/service.hpp
@@ -63,6 +63,9 @@
   void end();
   door::Verdict called(const door::Call& call);
   door::Verdict hold(const door::Call& call);
+  door::Verdict worked(Fleet::Work what, const door::Call& call);
+  void duck(bool on);
+  Seen seen(depot::Id id) const;
   void print_counters() const;
 
   const Surroundings around_;
--- a/tests/fleet.hpp
+++ b/tests/fleet.hpp
@@ -21,6 +21,7 @@
   std::vector<int> ahead_ms = {};          // clocks, by member
   std::vector<int> rate_ppm = {};
   std::string more = {};  // of the settings
+  bool work = false;      // with the duty of machines out for work
 };
 
 class Doormen {
@@ -39,6 +40,9 @@
   std::string file(std::size_t i) const { return folder_.path + "/n" + std::to_string(i) + ".textproto"; }
   static std::string name(std::size_t i) { return "n" + std::to_string(i); }
 
+  std::string work_file(std::size_t i) const {
+    return folder_.path + "/work" + std::to_string(i) + ".textproto";
+  }
   void write(std::size_t i, bool) {
     const auto own = [](std::uint16_t port) { return "\"127.0.0.1:" + std::to_string(port) + "\"\n"; };
     const auto at = [&](const std::vector<int>& all) { return i < all.size() ? all[i] : 0; };
@@ -60,6 +64,10 @@
         << " clock_rate_ppm: " << at(options_.rate_ppm) << " careless: " << (careless ? "true" : "false")
         << " }\n"
         << options_.more;
+    if (options_.work) {
+      out << "duties { name: \"work\" }\nwork { file: \"" << work_file(i)
+          << "\" permit_ms: 800 longest_ms: 1000 calm_ms: 300 }\n";
+    }
   }
   int front(std::size_t i) const { return members_[i].front->port(); }
   int door(std::size_t i) const { return members_[i].door; }
@@ -125,6 +133,17 @@
     }
     return done();
   }
+  // Of a duty.
+  std::size_t owner_of(const std::string& duty, const std::vector<std::size_t>& among = {}) {
+    for (std::size_t i = 0; i < members_.size(); ++i) {
+      if (!up(i)) continue;
+      if (!among.empty() && std::find(among.begin(), among.end(), i) == among.end()) continue;
+      const std::string text = status(i);
+      const std::size_t at = text.find("\"duty\":\"" + duty + "\"");
+      if (at != std::string::npos && field(text, "here", at) == "true") return i;
+    }
+    return npos;
+  }
   bool ready(std::size_t i) {
     return until(
         [&] { return ask(i, "GET", "/_ready").find("ready\n") == ask(i, "GET", "/_ready").size() - 6; });
--- a/tests/site.hpp
+++ b/tests/site.hpp
@@ -225,6 +225,13 @@
   }
   const std::string& path() const { return path_; }
   int bus_port() const { return bus_.port(); }
+  Listener& bus_listener() { return bus_; }
+  // Another list of depots, before anything is started.
+  void list(const std::string& hosts) {
+    const std::size_t from = config_.find("\"hosts\":[") + 9;
+    config_.replace(from, config_.find("]}", from) - from, hosts);
+    if (!path_.empty()) std::ofstream(path_) << config_;
+  }
 
   Caches caches;
   std::vector<Depot> depots;
