Forget a settled call only once its origin has it on disk

An entry of the order kept the ids of the last six calls on its depot; with many doors a seventh was settled while the first one's doorman, cut off, had not heard of it, and brought it again: settler.cpp dropped the oldest without asking.

An id is now dropped only once its origin has said that the order is on its disk up to that entry; up to 12 are kept, and a call for which there is no room waits and comes again. Members tell the owner of what they heeded once it is on disk (or after 30 ms).

--- a/bench/ownership.cpp
+++ b/bench/ownership.cpp
@@ -261,6 +261,10 @@
     o.fleet.careless = true;
     const auto r = standin::trial(o);
     const std::lock_guard hold(mutex);
+    if (!r.good()) {
+      std::printf("seed %llu, %zu members: %s\n", static_cast<unsigned long long>(o.fleet.seed),
+                  o.fleet.members, r.why.c_str());
+    }
     overlaps += r.tally.overlaps + r.tally.terms_shared;
     late += r.tally.late_acts;
     late_applied += r.tally.late_applied;
@@ -283,17 +287,20 @@
     histories += r.histories.size();
     bad += r.bad;
   });
-  std::vector<standin::ExplorerOptions> orders(6);
+  std::vector<standin::ExplorerOptions> orders(9);
   orders[0] = {.depth = 20, .crashes = 0, .timeouts = 0, .prompt_disk = true};
   orders[1] = {.depth = 16, .crashes = 0, .timeouts = 1, .prompt_disk = true};
   orders[2] = {.depth = 12, .crashes = 1, .drops = 1, .timeouts = 1};
   orders[3] = {.depth = 12, .crashes = 0, .timeouts = 0, .empties = 1};
   orders[4] = {.depth = 14, .crashes = 0, .drops = 1, .repeats = 1, .timeouts = 0, .prompt_disk = true};
   orders[5] = {.depth = 14, .crashes = 1, .timeouts = 0};
+  orders[6] = {.depth = 18, .crashes = 0, .timeouts = 1, .empties = 1, .prompt_disk = true};
+  orders[7] = {.depth = 16, .crashes = 1, .drops = 1, .timeouts = 0};
+  orders[8] = {.depth = 18, .crashes = 0, .drops = 1, .timeouts = 1, .prompt_disk = true};
   std::uint64_t states = 0;
   const auto explored_from = Clock::now();
   spread_over(orders.size(), [&](std::size_t i) {
-    orders[i].most_states = quick ? 300'000 : 2'700'000;
+    orders[i].most_states = quick ? 250'000 : 2'400'000;
     const auto r = standin::explore(orders[i]);
     const std::lock_guard hold(mutex);
     states += r.states;
--- a/src/fleet/agreement/mistakes.hpp
+++ b/src/fleet/agreement/mistakes.hpp
@@ -26,6 +26,7 @@
   kGateOpen,          // the gate heeds lower terms
   kNoFence,           // a new owner does not fence the registers of its duty
   kCallTwice,         // a call that was settled is settled again when it is repeated
+  kCallForgotten,     // a call is forgotten while it may still come again
   // Of work on machines:
   kPermitFromAnswer,  // a doorman counts its permit from the answer
   kPermitNeverEnds,   // and uses what is announced without one
--- a/src/fleet/member/member.cpp
+++ b/src/fleet/member/member.cpp
@@ -30,9 +30,11 @@
 constexpr std::int64_t kBehindMs = 60;  // between two rounds of an owner to those who are behind
 constexpr std::size_t kBehindAtOnce = 16;
 constexpr std::int64_t kSettleLeases = 10;  // so long another must be the first heir before a duty moves
-constexpr std::int64_t kWordMs = 250;       // between two words on machines in progress
-constexpr std::int64_t kWordNewsMs = 30;    // where something has changed
-constexpr int kCutOff = 5;                  // of Swim's health: it may be we who are cut off
+constexpr std::int64_t kHeededMs = 30;      // an answer to the owner waits so long for the disk
+constexpr std::int64_t kHeededAgainMs = 500;
+constexpr std::int64_t kWordMs = 250;     // between two words on machines in progress
+constexpr std::int64_t kWordNewsMs = 30;  // where something has changed
+constexpr int kCutOff = 5;                // of Swim's health: it may be we who are cut off
 
 const std::string kDutyKey = "duty.";
 
@@ -80,6 +82,7 @@
       started_ms_(now_ms) {
   bool gap = false;
   heed_ = order_.take(0, saved.upto, std::move(saved.order), gap);
+  durable_ = order_.upto();
   for (const ownership::Duty& duty : settings_.duties) {
     Post p(ownership::Tenure(settings_.name, session, settings_.lease, random_()));
     p.sure = gate_.highest(duty.name) > 0 || mistaken(Mistake::kUnsureHeeds);
@@ -191,7 +194,10 @@
   Save save;
   save.version = saving_ = version();
   save.state.voter = voter_.saved();
+  // What was met before the register was read is no knowledge that lasts: after a restart it would pass for
+  // it.
   save.state.terms = gate_.terms();
+  order_saves_.emplace_back(save.version, order_.upto());
   save.state.serial = serial_;
   save.state.calls.assign(calls_.begin(), calls_.end());
   for (const auto& [depot, entry] : order_.entries()) save.state.order.push_back(entry);
@@ -202,6 +208,10 @@
 
 void Member::persisted(std::uint64_t version, std::int64_t now_ms) {
   persisted_ = std::max(persisted_, version);
+  while (!order_saves_.empty() && order_saves_.front().first <= persisted_) {
+    durable_ = std::max(durable_, order_saves_.front().second);
+    order_saves_.pop_front();
+  }
   while (!crew_saves_.empty() && crew_saves_.front().first <= persisted_) {
     crew_->durable(crew_saves_.front().second);
     crew_saves_.pop_front();
@@ -220,6 +230,7 @@
   gossip(now_ms);
   machines(now_ms);
   say_word(now_ms);
+  say_heeded(now_ms);
   proposer_.tick(now_ms);
   settle(now_ms);
 }
@@ -336,7 +347,7 @@
       }
       if (known) {
         look(duty, seen.term, now_ms);
-        p->sure = true;
+        if (!std::exchange(p->sure, true)) dirty();
       }
       became(duty, *p, change, step == Step::kRelease ? "handed over" : "agreed", now_ms);
       continue;
@@ -477,7 +488,8 @@
   Post& p = it->second;
   const bool owner = settings_.careless ? p.tenure.held() : owns(kHolds, now_ms);
   if (!owner || p.releasing) return;
-  for (auto& ask : settler_.next(gone_)) {
+  durable_by_[origin_] = durable_;
+  for (auto& ask : settler_.next(gone_, durable_by_)) {
     const std::uint64_t op = proposer_.begin(ask.key, std::move(ask.change), now_ms);
     op == 0 ? settler_.again(ask.key) : void(ops_[op] = Whose::kOrder);
   }
@@ -581,6 +593,20 @@
   say_to(owner, std::move(t));
 }
 
+// The owner is told in one word that it is heeded and on disk; where the disk takes long, twice.
+void Member::say_heeded(std::int64_t now_ms) {
+  if (tell_heeded_ms_ < 0) return;
+  const bool whole = durable_ >= order_.upto();
+  if (!whole && now_ms < tell_heeded_ms_) return;
+  tell_heeded_ms_ = whole ? -1 : now_ms + kHeededAgainMs;
+  const auto [owner, term] = this->owner(kHolds);
+  if (owner.empty() || owner == settings_.name) return;
+  Talk done = ask(kHolds, false);
+  done.kind = Talk::Kind::kHeeded;
+  done.from = durable_;
+  say_to(owner, std::move(done));
+}
+
 std::string Member::work_call(work::Wish wish, std::int64_t now_ms) {
   if (!crew_) return "the duty 'work' is not among this fleet's duties";
   wish.id = random_() | 1;
@@ -753,11 +779,7 @@
     next_push_ms_ = now_ms;
   }
   if (t.term > 0 && (news || from == t.owner)) {
-    if (p->owner != settings_.name) {
-      Talk done = ask(kHolds, false);
-      done.kind = Talk::Kind::kHeeded;
-      say_to(p->owner, std::move(done));
-    }
+    if (p->owner != settings_.name && tell_heeded_ms_ < 0) tell_heeded_ms_ = now_ms + kHeededMs;
   }
   if (caught_up_) return;
   // Who was asked has told all that it knows.
@@ -865,6 +887,8 @@
       if (!p->tenure.held() || !swim_.members().contains(from)) return;
       std::uint64_t& known = heeded_by_[from];
       known = std::max(known, t.known);
+      std::uint64_t& durable = durable_by_[origin_of(from)];
+      durable = std::max(durable, t.from);
       return;
     }
   }
--- a/src/fleet/member/member.hpp
+++ b/src/fleet/member/member.hpp
@@ -172,6 +172,7 @@
   void work(std::int64_t now_ms);
   void machines(std::int64_t now_ms);
   void say_word(std::int64_t now_ms);
+  void say_heeded(std::int64_t now_ms);
   void find_voters(std::int64_t now_ms);
   void push_calls(std::int64_t now_ms);
   void gossip(std::int64_t now_ms);
@@ -222,8 +223,12 @@
   std::int64_t heirs_until_ms_ = 0;
   std::deque<orders::Call> calls_;
   std::uint64_t serial_ = 0;
-  std::map<std::string, std::uint64_t> heeded_by_;  // at the owner
-  std::set<std::string> caught_by_;                 // voters whose word on the order is heeded here
+  std::map<std::string, std::uint64_t> heeded_by_;                   // at the owner
+  orders::Settler::Durable durable_by_;                              // what it has on disk, by origin
+  std::deque<std::pair<std::uint64_t, std::uint64_t>> order_saves_;  // versions, and how far the order went
+  std::uint64_t durable_ = 0;                                        // of the order here
+  std::int64_t tell_heeded_ms_ = -1;                                 // when the owner is told, at the latest
+  std::set<std::string> caught_by_;  // voters whose word on the order is heeded here
   bool caught_up_ = false, draining_ = false;
   std::function<bool(depot::Id)> gone_ = [](depot::Id) { return false; };
 
--- a/src/fleet/orders/order.cpp
+++ b/src/fleet/orders/order.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr unsigned kShards = 16;
+// In a message, at the most; all that is told at once must fit into one datagram.
+constexpr std::size_t kEntryBytes = 30, kCallBytes = 20, kMostBytes = 1100;
 
 std::string key(unsigned shard) { return std::string("holds.") + "0123456789abcdef"[shard]; }
 
@@ -40,12 +42,15 @@
 std::vector<Entry> Order::since(std::uint64_t from, std::size_t most, std::uint64_t& to) const {
   std::vector<Entry> out;
   to = upto_;
+  std::size_t bytes = 0;
   for (auto it = by_number_.upper_bound(from); it != by_number_.end(); ++it) {
-    if (out.size() == most) {
+    const Entry& e = entries_.at(it->second);
+    bytes += kEntryBytes + kCallBytes * e.calls.size();
+    if (out.size() == most || (bytes > kMostBytes && !out.empty())) {
       to = out.back().number;
       break;
     }
-    out.push_back(entries_.at(it->second));
+    out.push_back(e);
   }
   return out;
 }
--- a/src/fleet/orders/order.hpp
+++ b/src/fleet/orders/order.hpp
@@ -32,13 +32,15 @@
   bool held = false;
   std::uint64_t number = 0;  // from 1; each number once in a fleet's life
   std::int64_t at_ms = 0;
-  // The calls that were settled on this depot, the last of each origin; the oldest are dropped.
+  // The calls that were settled on this depot, the last of each origin. One is dropped once its origin is
+  // known to have the entry on disk: until then it may come again.
   std::vector<CallId> calls;
   bool operator==(const Entry&) const = default;
   bool settles(const CallId& id) const;
 };
 
-constexpr std::size_t kMostCalls = 6;      // remembered with an entry
+constexpr std::size_t kMostCalls = 6;   // remembered with an entry where those before are not needed any more
+constexpr std::size_t kHardCalls = 12;  // in any case
 constexpr std::size_t kMostEntries = 400;  // of all registers together, about
 
 // What one member knows of the order.
--- a/src/fleet/orders/settler.cpp
+++ b/src/fleet/orders/settler.cpp
@@ -38,8 +38,9 @@
 }
 
 agreement::Proposer::Change Settler::settle(const Call& call, std::uint64_t number,
-                                            const std::function<bool(depot::Id)>& gone) const {
-  return [term = term_, call, number, gone](const std::string& value) -> std::optional<std::string> {
+                                            const std::function<bool(depot::Id)>& gone,
+                                            const Durable& durable) const {
+  return [term = term_, call, number, gone, durable](const std::string& value) -> std::optional<std::string> {
     auto shard = shard_from(value);
     if (!shard || shard->term > term) return std::nullopt;
     shard->term = term;
@@ -47,22 +48,36 @@
     auto it = std::find_if(all.begin(), all.end(), [&](const Entry& e) { return e.depot == call.depot; });
     if (it == all.end()) it = all.insert(all.end(), Entry{call.depot, false, 0, 0, {}});
     if (it->settles(call.id) && !mistaken(Mistake::kCallTwice)) return std::nullopt;
+    // A call that is forgotten while its origin may still bring it again would be settled twice.
+    const auto over = [&](const CallId& c, const Entry& e) {
+      const auto known = durable.find(c.origin);
+      return (known != durable.end() && known->second >= e.number) || mistaken(Mistake::kCallForgotten);
+    };
+    std::erase_if(it->calls, [&](const CallId& c) { return c.origin == call.id.origin; });
+    while (it->calls.size() >= kMostCalls) {
+      const auto old =
+          std::find_if(it->calls.begin(), it->calls.end(), [&](const CallId& c) { return over(c, *it); });
+      if (old == it->calls.end()) break;
+      it->calls.erase(old);
+    }
+    if (it->calls.size() >= kHardCalls) return std::nullopt;  // not now
     it->held = call.held;
     it->number = number;
     it->at_ms = call.at_ms;
-    std::erase_if(it->calls, [&](const CallId& c) { return c.origin == call.id.origin; });
-    if (it->calls.size() >= kMostCalls) it->calls.erase(it->calls.begin());
     it->calls.push_back(call.id);
     std::string out = encode(*shard);
     if (out.size() > agreement::kMostValue) {
-      std::erase_if(all, [&](const Entry& e) { return !e.held && e.depot != call.depot && gone(e.depot); });
+      std::erase_if(all, [&](const Entry& e) {
+        return !e.held && e.depot != call.depot && gone(e.depot) &&
+               std::all_of(e.calls.begin(), e.calls.end(), [&](const CallId& c) { return over(c, e); });
+      });
       out = encode(*shard);
     }
     return out.size() > agreement::kMostValue ? std::nullopt : std::optional(std::move(out));
   };
 }
 
-std::vector<Settler::Ask> Settler::next(const std::function<bool(depot::Id)>& gone) {
+std::vector<Settler::Ask> Settler::next(const std::function<bool(depot::Id)>& gone, const Durable& durable) {
   std::vector<Ask> out;
   if (term_ == 0) return out;
   for (const std::string& key : to_fence_) {
@@ -71,7 +86,7 @@
   if (!to_fence_.empty() || calls_.empty()) return out;
   const Call& call = calls_.front();
   if (const std::string key = key_of(call.depot); asked_.insert(key).second) {
-    out.push_back({key, settle(call, last_ + 1, gone)});
+    out.push_back({key, settle(call, last_ + 1, gone, durable)});
   }
   return out;
 }
@@ -98,6 +113,7 @@
   const bool there = it != all.end() && it->settles(call.id);
   calls_.pop_front();
   known_.erase(call.id);
+  if (!there && it != all.end() && it->calls.size() >= kHardCalls) return true;  // it comes again
   if (!there) {
     answers_.push_back({call.id, Verdict::kFull});
     return true;
--- a/src/fleet/orders/settler.hpp
+++ b/src/fleet/orders/settler.hpp
@@ -8,6 +8,7 @@
 
 #include <deque>
 #include <functional>
+#include <map>
 #include <set>
 
 #include "fleet/agreement/proposer.hpp"
@@ -33,6 +34,10 @@
     Verdict verdict = Verdict::kSettled;
   };
 
+  // Each origin has the order on disk up to there, as far as it has said so: its calls up to there never come
+  // again.
+  using Durable = std::map<std::uint64_t, std::uint64_t>;
+
   void took(std::uint64_t term);
   void lost();
   bool working() const { return term_ != 0; }
@@ -42,7 +47,7 @@
   bool offer(const Call& call);
   // What is to be asked of the registers now; each is told of with `settled`. `gone`: nobody needs to hear of
   // this depot any more, so its entry may make room.
-  std::vector<Ask> next(const std::function<bool(depot::Id)>& gone);
+  std::vector<Ask> next(const std::function<bool(depot::Id)>& gone, const Durable& durable);
   void again(const std::string& key) { asked_.erase(key); }  // it could not be asked now
   // False: the register has a higher term, `higher`; this owner's is over.
   bool settled(const agreement::Proposer::Result& result, std::uint64_t& higher);
@@ -55,7 +60,8 @@
  private:
   agreement::Proposer::Change fence() const;
   agreement::Proposer::Change settle(const Call& call, std::uint64_t number,
-                                     const std::function<bool(depot::Id)>& gone) const;
+                                     const std::function<bool(depot::Id)>& gone,
+                                     const Durable& durable) const;
 
   std::uint64_t term_ = 0;  // 0: not the owner
   std::set<std::string> to_fence_, asked_;
--- a/src/fleet/talk/values.cpp
+++ b/src/fleet/talk/values.cpp
@@ -45,7 +45,7 @@
 bool all_from(const google::protobuf::RepeatedPtrField<wire::Entry>& entries,
               std::vector<orders::Entry>& out) {
   for (const auto& e : entries) {
-    if (e.calls_size() > static_cast<int>(orders::kMostCalls)) return false;
+    if (e.calls_size() > static_cast<int>(orders::kHardCalls)) return false;
     orders::Entry entry{e.depot(), e.held(), e.number(), e.at_ms(), {}};
     for (const auto& c : e.calls()) entry.calls.push_back(from(c));
     out.push_back(std::move(entry));
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -12,6 +12,7 @@
 #include "standin/explorer.hpp"
 #include "standin/histories.hpp"
 #include "standin/trial.hpp"
+#include "standin/works.hpp"
 
 using namespace anisewick;
 using standin::DuelOptions;
@@ -230,3 +231,68 @@
   CHECK(e.until([&] { return e.owner("holds") == first; }, 8 * o.lease_ms));
   CHECK(e.sound());
 }
+
+TEST_CASE("A call is forgotten only once its origin has it on disk, and never settled twice") {
+  for (const bool acknowledged : {false, true}) {
+    orders::Settler settler;
+    settler.took(1);
+    std::map<std::string, std::string> registers;
+    orders::Settler::Durable durable;
+    const auto gone = [](depot::Id) { return false; };
+    const auto settle = [&] {
+      for (auto asks = settler.next(gone, durable); !asks.empty(); asks = settler.next(gone, durable)) {
+        for (auto& ask : asks) {
+          agreement::Proposer::Result r;
+          r.key = ask.key;
+          const auto next = ask.change(registers[ask.key]);
+          r.what = next ? agreement::Proposer::Result::What::kChanged
+                        : agreement::Proposer::Result::What::kLeft;
+          if (next) registers[ask.key] = *next;
+          r.value = registers[ask.key];
+          std::uint64_t higher = 0;
+          REQUIRE(settler.settled(r, higher));
+        }
+      }
+    };
+    for (std::uint64_t origin = 1; origin <= 40; ++origin) {
+      settler.offer({{origin, 1}, 7, origin % 2 == 0, 0});
+      settle();
+      for (std::uint64_t o = 1; o <= origin && acknowledged; ++o) durable[o] = settler.last();
+    }
+    // Without a word of the others it stops where there is room no more; nothing of it is an answer.
+    const std::uint64_t last = settler.last();
+    CHECK(last == (acknowledged ? 40 : orders::kHardCalls));
+    settler.offer({{1, 1}, 7, true, 0});  // the first, once more
+    settle();
+    CHECK(settler.last() == (acknowledged ? 41 : last));  // which none that has it on disk would bring
+  }
+}
+
+TEST_CASE("What an emptied disk had heeded is not undone by what it met before it read the register") {
+  standin::TrialOptions o;
+  o.fleet.seed = 1'002'099;  // emptied, told of an old term, killed, and started again
+  o.fleet.duties = 3;
+  o.fleet.voters = 3;
+  o.fleet.members = 7;
+  o.fleet.twice = 0.05;
+  o.fleet.careless = true;
+  const auto r = standin::trial(o);
+  INFO(r.why);
+  CHECK(r.good());
+}
+
+TEST_CASE("Depots are taken out for work while the fleet is harmed: none is sent to while it is out") {
+  std::uint64_t sends = 0;
+  for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+    standin::WorksOptions o;
+    o.seed = seed;
+    o.careless = seed % 2 == 0;
+    o.loss = seed % 5 == 0 ? 0.2 : 0.0;
+    const auto r = standin::works(o);
+    INFO("seed " << seed << ": " << r.first << " " << r.waits);
+    CHECK(r.good());
+    CHECK(r.done == o.wanted);
+    sends += r.sends;
+  }
+  CHECK(sends > 10'000);
+}
