Keep no term on disk that was only met before the register was read

It had met term 2 before it had read the register, that went to its disk with the rest of the gate, and after one more kill passed for knowledge (member.cpp: sure = the disk has a term). Checked by its notes; ruled out: the register, which had term 3 all the while.

Such terms are left out of the state until the register has been read.

--- a/src/fleet/member/member.cpp
+++ b/src/fleet/member/member.cpp
@@ -197,6 +197,9 @@
   // What was met before the register was read is no knowledge that lasts: after a restart it would pass for
   // it.
   save.state.terms = gate_.terms();
+  for (const auto& [duty, p] : posts_) {
+    if (!p.sure && duty != kHolds) save.state.terms.erase(duty);
+  }
   order_saves_.emplace_back(save.version, order_.upto());
   save.state.serial = serial_;
   save.state.calls.assign(calls_.begin(), calls_.end());
