Look at the permit before each decision; play work on machines in simulated time

Need: a doorman that was stopped and woken may read a client's request before its timer comes; its permit to send to announced machines may be over by then. It is looked at before each pick, report and tick, and before what has waited for a connection is written.

standin/works: doormans that send by what they know, staff who restart what is called out, a bus that tells late, kills, stops, cuts, full disks, loss, a newcomer. Found so: a range over a temporary in crew.cpp (read after its end).

--- a/src/fleet/part/part.hpp
+++ b/src/fleet/part/part.hpp
@@ -25,6 +25,7 @@
   bool start(std::string& why) override;
   std::string called(depot::Id depot, bool held) override;
   void drain(bool on) override;
+  void look() override { leave(); }
   void end() override;
   std::string status() override;
   void report() override;
--- a/src/fleet/work/crew.cpp
+++ b/src/fleet/work/crew.cpp
@@ -26,7 +26,8 @@
 }
 std::vector<Wish> wishes_in(const std::string& saved) {
   std::vector<Wish> out;
-  for (const auto& w : parsed(saved).wishes()) {
+  const wire::WorkSaved all = parsed(saved);
+  for (const auto& w : all.wishes()) {
     if (w.what() < 1 || w.what() > static_cast<std::uint32_t>(Wish::What::kGone)) continue;
     if (out.size() == Staff::kMostWishes) break;
     out.push_back({static_cast<Wish::What>(w.what()), w.job(), w.machine(), w.id(), w.file()});
--- a/src/links/depot_pool.cpp
+++ b/src/links/depot_pool.cpp
@@ -75,6 +75,7 @@
       without_delay(self->socket_);
       self->watch();
       self->read();
+      self->look();
       self->pump();
     });
   }
@@ -205,6 +206,11 @@
     if (retired_ && items_.empty() && !(up_ && (writing_ || !queue_.empty()))) close();
   }
 
+  // What has waited may not go any more: it is recalled then. Never while something is being sent, for that
+  // must not end within its own call.
+  void look() {
+    if (!queue_.empty() && pool_.look_) pool_.look_();
+  }
   void pump() {
     if (!up_ || writing_ || closed_ || queue_.empty()) return;
     writing_ = true;
@@ -221,6 +227,7 @@
                         if (self->closed_) return;
                         if (error) return self->fail();
                         self->writing_ = false;
+                        self->look();
                         self->pump();
                         self->close_if_done();
                       });
--- a/src/links/depot_pool.hpp
+++ b/src/links/depot_pool.hpp
@@ -49,6 +49,8 @@
   DepotPool(asio::io_context& io, Counters& counters, Limits limits);
   ~DepotPool();
 
+  // Called before what has waited is written: it may not go any more, and `heed` then recalls it.
+  void looks_by(std::function<void()> look) { look_ = std::move(look); }
   // From here on; what is open beyond it stays open.
   void limit(std::size_t links) { limits_.links = links; }
   void heed(const bus::Event& event);
@@ -76,6 +78,7 @@
   asio::io_context& io_;
   Counters& counters_;
   Limits limits_;
+  std::function<void()> look_;
   Handle next_ = 1;
   std::unordered_map<depot::Id, Known> depots_;
   std::unordered_map<Handle, Open> open_;
--- a/src/net/doorman.cpp
+++ b/src/net/doorman.cpp
@@ -81,6 +81,7 @@
   ask.group = call.group;
   ask.give_up_at = call.taken + call.patience;
   open_.emplace(ticket, std::make_unique<Open>(io_, std::move(call)));
+  if (look_) look_();
   act(ticket, facade_.pick(unix_now(), ask));
 }
 
@@ -170,6 +171,7 @@
   }
   it->second->sent = 0;
   it->second->timer.cancel();
+  if (look_) look_();
   const Step step = facade_.report(unix_now(), ticket, reply.report);
   if (reply.report.end != End::kServed) return act(ticket, step);
   Answer answer;
@@ -229,6 +231,7 @@
 }
 
 void Doorman::tick() {
+  if (look_) look_();
   for (const auto& [ticket, step] : facade_.tick(unix_now())) act(ticket, step);
   ticking_.expires_after(kTick);
   ticking_.async_wait([this](Error error) {
--- a/src/net/doorman.hpp
+++ b/src/net/doorman.hpp
@@ -34,8 +34,11 @@
 
   bool listed() const { return listed_; }  // there was a whole list
 
-  // From now on answers are counted by depot.
-  void count_answers() { counts_ = true; }
+  // From now on answers are counted by depot, and `look` is called before each decision.
+  void in_fleet(std::function<void()> look) {
+    counts_ = true;
+    look_ = std::move(look);
+  }
   struct Served {
     std::uint64_t answers = 0, fills = 0;
   };
@@ -77,6 +80,7 @@
   std::unordered_map<Ticket, std::unique_ptr<Open>> open_;
   std::unordered_set<std::string> ids_;  // of the open calls
   bool counts_ = false;
+  std::function<void()> look_;                    // empty: there is no fleet
   std::unordered_map<depot::Id, Served> served_;  // of those on the list
 };
 
--- a/src/service/fleet.hpp
+++ b/src/service/fleet.hpp
@@ -53,6 +53,8 @@
   virtual std::string called(depot::Id depot, bool held) = 0;
   // This doorman goes out of service, or comes back.
   virtual void drain(bool on) = 0;
+  // Before anything is decided about a request: time may have passed unseen, and a permit with it.
+  virtual void look() = 0;
   virtual void end() = 0;
   // One line of JSON; `report` writes it to the log.
   virtual std::string status() = 0;
--- a/src/service/service.cpp
+++ b/src/service/service.cpp
@@ -97,7 +97,8 @@
          },
          [this](depot::Id id) { return seen(id); }, [this] { return running_ && life_.duty(now()).ready; },
          [this] { return life_.duck_now() && doorman_.none_open(); }, [this](bool on) { duck(on); }});
-    doorman_.count_answers();
+    doorman_.in_fleet([this] { fleet_->look(); });
+    depots_.looks_by([this] { fleet_->look(); });
     life_.in_fleet();
   }
   for (const bus::Event& event : c.known) heed(event);
--- a/src/standin/ensemble.cpp
+++ b/src/standin/ensemble.cpp
@@ -17,6 +17,7 @@
   for (std::size_t d = 0; d < options.duties; ++d) {
     duties_.push_back(d == 0 ? member::kHolds : "duty" + std::to_string(d));
   }
+  if (options.work) duties_.push_back(work::kDuty);
   for (std::size_t i = 0; i < nodes_.size(); ++i) {
     Node& n = nodes_[i];
     n.rate = 1.0 + options.clock_rate * (2.0 * lot() - 1.0);
@@ -54,6 +55,7 @@
   s.careless = options_.careless;
   s.lease.lease_ms = options_.lease_ms;
   s.proposer.give_up_ms = options_.lease_ms * 3 / 4;
+  s.work = options_.times;
   s.duties.clear();
   for (const std::string& d : duties_) s.duties.push_back({d, {}});
   for (std::size_t v = 0; v < options_.voters; ++v) {
@@ -68,6 +70,7 @@
   n.saving = 0;
   n.tick_at = now_;
   n.inbox.clear();
+  options_.started(i, *n.member);
 }
 
 void Ensemble::kill(std::size_t i) {
@@ -172,6 +175,7 @@
           now_ + 1 + static_cast<std::int64_t>(random_() % static_cast<std::uint64_t>(options_.disk_ms));
     }
   }
+  options_.flushed(i);
 }
 
 void Ensemble::run(std::int64_t ms) {
--- a/src/standin/ensemble.hpp
+++ b/src/standin/ensemble.hpp
@@ -30,6 +30,11 @@
   std::int64_t step_ms = 10;
   bool coded = false;     // every packet goes through its bytes
   bool careless = false;  // owners do not look at their leases
+  bool work = false;      // with the duty of machines out for work
+  work::Times times = {};
+  // After a member was started, and after what it gave was carried out.
+  std::function<void(std::size_t, member::Member&)> started = [](std::size_t, member::Member&) {};
+  std::function<void(std::size_t)> flushed = [](std::size_t) {};
 };
 
 class Ensemble {
--- a/src/standin/mistaken.cpp
+++ b/src/standin/mistaken.cpp
@@ -3,6 +3,7 @@
 #include "standin/duel.hpp"
 #include "standin/explorer.hpp"
 #include "standin/trial.hpp"
+#include "standin/works.hpp"
 
 namespace anisewick::agreement {
 namespace {
@@ -55,7 +56,7 @@
   }
   return {};
 }
-Found by_fleet(std::uint64_t runs) {
+Found by_fleet(Mistake mistake, std::uint64_t runs) {
   for (std::uint64_t seed = 1; seed <= runs; ++seed) {
     if (const TrialResult r = drift_trial(seed, 0.0199, 5); !r.sound) {
       return {true, "fleet", "clocks apart, seed " + std::to_string(seed) + ", " + r.why};
@@ -66,12 +67,30 @@
     o.fleet.twice = 0.05;
     o.fleet.clock_rate = 0.02;
     o.fleet.careless = seed % 2 == 0;
+    if (mistake == Mistake::kCallForgotten) {  // many doors, and two depots
+      o.fleet.members = 11;
+      o.depots = 2;
+      o.call_ms = 150;
+    }
+    if (mistake == Mistake::kUnsureHeeds) o.empty_in = 1;
     const TrialResult r = trial(o);
     if (!r.sound || r.lost_calls > 0) return {true, "fleet", "seed " + std::to_string(seed) + ", " + r.why};
   }
   return {};
 }
 
+Found by_works(std::uint64_t runs) {
+  for (std::uint64_t seed = 1; seed <= runs; ++seed) {
+    WorksOptions o;
+    o.seed = seed;
+    o.careless = seed % 2 == 0;
+    o.delay_ms = seed % 3 == 0 ? 250 : 10;
+    const WorksResult r = works(o);
+    if (!r.sound()) return {true, "works", "seed " + std::to_string(seed) + ", " + r.first};
+  }
+  return {};
+}
+
 }  // namespace
 
 const std::vector<Named>& mistakes() {
@@ -94,6 +113,16 @@
                                       {Mistake::kGateOpen, "gate open"},
                                       {Mistake::kNoFence, "no fence"},
                                       {Mistake::kCallTwice, "call twice"},
+                                      {Mistake::kCallForgotten, "call forgotten"},
+                                      {Mistake::kPermitFromAnswer, "permit from the answer"},
+                                      {Mistake::kPermitNeverEnds, "permit never ends"},
+                                      {Mistake::kWorkNotFenced, "work not fenced"},
+                                      {Mistake::kRollUnread, "list read once"},
+                                      {Mistake::kSilenceConfirms, "silence confirms"},
+                                      {Mistake::kOpenIgnored, "open ignored"},
+                                      {Mistake::kAskedUnheeded, "asked unheeded"},
+                                      {Mistake::kWordBeforeDisk, "word before the disk"},
+                                      {Mistake::kPictureForgotten, "picture forgotten"},
                                       {Mistake::kUnsureHeeds, "unsure, and heeds"}};
   return all;
 }
@@ -106,7 +135,11 @@
   if (mistake <= Mistake::kNoCopy) {
     if (Found f = by_duel(runs); f.found) return f;
   }
-  return by_fleet(runs);
+  if (mistake >= Mistake::kPermitFromAnswer && mistake <= Mistake::kPictureForgotten) return by_works(runs);
+  if (mistake == Mistake::kNone) {
+    if (Found f = by_works(runs); f.found) return f;
+  }
+  return by_fleet(mistake, runs);
 }
 
 }  // namespace anisewick::standin
--- a/src/standin/trial.cpp
+++ b/src/standin/trial.cpp
@@ -21,7 +21,7 @@
         next_call += static_cast<std::int64_t>(random_() % static_cast<std::uint64_t>(2 * o_.call_ms + 1));
         const std::size_t at = random_() % n;
         if (fleet_.up(at) && !stopped_.contains(at)) {
-          fleet_.call(at, static_cast<depot::Id>(1 + random_() % 12), random_() % 2 == 0);
+          fleet_.call(at, static_cast<depot::Id>(1 + random_() % o_.depots), random_() % 2 == 0);
         }
       }
     }
@@ -62,7 +62,7 @@
         fleet_.kill(who);
         stopped_.erase(who);
         // One voter's disk may be lost at a time, else there is nothing to be had by waiting.
-        if (o_.empties && !emptied_ && who < o_.fleet.voters && random_() % 6 == 0) {
+        if (o_.empties && !emptied_ && who < o_.fleet.voters && random_() % o_.empty_in == 0) {
           emptied_ = true;
           emptied_one_ = who;
           fleet_.empty(who);
--- a/src/standin/trial.hpp
+++ b/src/standin/trial.hpp
@@ -15,6 +15,8 @@
   std::int64_t calm_ms = 30'000;    // so long at most until all is settled
   bool replaces = true, empties = true;
   std::int64_t call_ms = 700;  // between two calls of staff, about
+  std::size_t depots = 12;     // that they are about
+  std::uint64_t empty_in = 6;  // of so many kills of voters one loses its disk
 };
 struct TrialResult {
   bool sound = false;    // nothing that must hold was broken
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -12,6 +12,7 @@
 #include "standin/explorer.hpp"
 #include "standin/histories.hpp"
 #include "standin/trial.hpp"
+#include "standin/works.hpp"
 
 using namespace anisewick;
 using standin::DuelOptions;
@@ -279,3 +280,19 @@
   INFO(r.why);
   CHECK(r.good());
 }
+
+TEST_CASE("Depots are taken out for work while the fleet is harmed: none is sent to while it is out") {
+  std::uint64_t sends = 0;
+  for (std::uint64_t seed = 1; seed <= 30; ++seed) {
+    standin::WorksOptions o;
+    o.seed = seed;
+    o.careless = seed % 2 == 0;
+    o.loss = seed % 5 == 0 ? 0.2 : 0.0;
+    const auto r = standin::works(o);
+    INFO("seed " << seed << ": " << r.first << " " << r.waits);
+    CHECK(r.good());
+    CHECK(r.done == o.wanted);
+    sends += r.sends;
+  }
+  CHECK(sends > 10'000);
+}
