Count a doorman's silence only from when something was in progress

Seen: a rolling restart of all doormans went on and off every 300 ms for ever (work announced, put back, announced): while nothing is in progress doormans say nothing, so right after an announcement all others passed for away, and the job's terms forbade it (steps.cpp: away by freshness alone).

Silence now counts from when the picture was last empty. A machine that has failed counts until its board says so: the next one was announced for a moment before the job halted.

--- a/src/fleet/work/steps.cpp
+++ b/src/fleet/work/steps.cpp
@@ -147,6 +147,7 @@
       changes_.push_back({a.machine, word(end), {}});
     }
   }
+  if (now_.active.empty() || now_.number == 0) busy_since_ms_ = now_ms;
   now_ = *now;
   // The earliest moment at which it is known to stand: whoever asks after it finds it or a later one.
   seen_ms_.emplace(now_.number, now_ms);
@@ -296,7 +297,11 @@
 }
 
 bool Steps::away(const Machine& m, std::int64_t now_ms) const {
-  if (m.kind == Kind::kDoorman) return !fresh(m.id, now_ms) || !heard_.at(m.id).word.up;
+  if (m.kind == Kind::kDoorman) {
+    if (fresh(m.id, now_ms)) return !heard_.at(m.id).word.up;
+    // While nothing is in progress doormans say nothing; silence counts from when they should have.
+    return now_ms - busy_since_ms_ > kFreshMs;
+  }
   return !sees_.ready(m.id) || sees_.staff(m.id).first;
 }
 
@@ -308,8 +313,6 @@
     const Active* a = now.of(m.id);
     const auto later = later_.find(m.id);
     m.away = a != nullptr ? a->slot != slot || a->state == State::kFailed : away(m, now_ms);
-    // While doormans say nothing, since nothing is in progress, none is taken for away.
-    if (a == nullptr && m.kind == Kind::kDoorman && now.active.empty()) m.away = false;
     m.wanted = i < job.wanted && i < b.states.size() && b.states[i] == State::kWaiting && a == nullptr &&
                !m.away && (later == later_.end() || now_ms >= later->second);
   }
@@ -501,8 +504,10 @@
     const Board& b = library_.board(s);
     if (job == nullptr || b.phase != Phase::kRunning || b.states.size() != job->wanted) continue;
     if (unix_ms < job->earliest_ms) continue;
-    const bool busy = std::any_of(next.active.begin(), next.active.end(),
-                                  [&](const Active& a) { return a.slot == s && a.state != State::kFailed; });
+    const bool busy = std::any_of(next.active.begin(), next.active.end(), [&](const Active& a) {
+      // One that has failed counts until its board says so, which may halt the job.
+      return a.slot == s && (a.state != State::kFailed || b.states[a.place] == State::kWaiting);
+    });
     if (!busy) slots.push_back(s);
   }
   std::sort(slots.begin(), slots.end(), [&](std::size_t a, std::size_t b) {
--- a/src/fleet/work/steps.hpp
+++ b/src/fleet/work/steps.hpp
@@ -102,7 +102,7 @@
   Roll roll_, rolling_;
   std::uint64_t roll_for_ = 0, rolling_for_ = 0;
   std::set<std::string> rolls_left_;
-  std::int64_t trouble_until_ms_ = -1;
+  std::int64_t trouble_until_ms_ = -1, busy_since_ms_ = 0;
   std::map<std::string, std::int64_t> later_;  // machines that are not taken before
   std::map<std::string, std::map<std::string, std::pair<std::uint64_t, std::uint64_t>>>
       cold_;  // counted from
