Bound what waits for a disk that stays full

Each try to write the state left one entry of order_saves_ behind while the disk was full (member.cpp, take_save): slow, but without a bound. A failed write drops them; the next try tells anew. Found by reading; compiled, not caused by a test yet.

--- a/src/fleet/member/member.hpp
+++ b/src/fleet/member/member.hpp
@@ -80,7 +80,10 @@
   // The state of that number, or a later one, is on disk.
   void persisted(std::uint64_t version, std::int64_t now_ms);
   // The last one given could not be written: it is to be tried again.
-  void unsaved() { saving_ = persisted_; }
+  void unsaved() {
+    saving_ = persisted_;
+    order_saves_.clear();  // told anew with the next try: a disk that stays full must not make it grow
+  }
 
   // Staff's word, which holds here already: it goes to the owner until it is settled. False: too many wait.
   bool call(depot::Id depot, bool held, std::int64_t unix_ms, std::int64_t now_ms);
