Answer a job's file without machines with findings instead of ending the process

Seen: a SIGHUP (or POST /_work/take) with a work file that has no machines ended the doorman: 'Index must be in range of repeated field values. Field: machines'. Checked by the log of the process test that sends a bad file; to blame was Reader::line_of, which asked protobuf's tree for element -1 of a repeated field, on which the library ends the process. An element that is not there has no line. The test 'A job's file that was changed on SIGHUP...' fails without it.

--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -72,12 +72,15 @@
 int Reader::line_of(const Tree* tree, const pb::Message& in, const char* field, int index) {
   const pb::FieldDescriptor* f = in.GetDescriptor()->FindFieldByName(field);
   if (tree == nullptr || f == nullptr) return 0;
+  // The library ends the process where it is asked for an element that is not there.
+  if (f->is_repeated() && (index < 0 || index >= in.GetReflection()->FieldSize(in, f))) return 0;
   return tree->GetLocation(f, f->is_repeated() ? index : -1).line + 1;
 }
 
 const Reader::Tree* Reader::within(const Tree* tree, const pb::Message& in, const char* field, int index) {
   const pb::FieldDescriptor* f = in.GetDescriptor()->FindFieldByName(field);
   if (tree == nullptr || f == nullptr) return nullptr;
+  if (f->is_repeated() && (index < 0 || index >= in.GetReflection()->FieldSize(in, f))) return nullptr;
   return tree->GetTreeForNested(f, f->is_repeated() ? index : -1);
 }
 
