Count a call as met once any entry that settles it was heeded

Checked by playing that seed alone: the call was settled and followed by another on its depot before anybody heard of it, met as an earlier id of that entry, and later forgotten there, rightly, once its origin had it on disk. The checker knew only the last id of each heeded entry; ruled out: the order and its registers.

--- a/src/standin/ensemble.cpp
+++ b/src/standin/ensemble.cpp
@@ -141,6 +141,7 @@
     if (!fresh && it->second != std::pair(e.depot, e.held)) {
       breach(tally_.orders_differ, "number " + std::to_string(e.number) + " is two entries");
     }
+    met_.insert(e.calls.begin(), e.calls.end());
     if (e.calls.empty()) continue;
     const auto [call, first] = numbers_.try_emplace(e.calls.back(), e.number);
     if (!first && call->second != e.number) {
@@ -269,7 +270,8 @@
 }
 
 std::size_t Ensemble::lost_calls() const {
-  // One that was settled and followed by another before anybody heard of it stands with that other.
+  // One that was settled and followed by another before anybody heard of it stands with that other, and is
+  // met there; once its origin has that on disk the entry may forget it.
   const auto stands = [&](const orders::CallId& id, depot::Id depot) {
     return std::any_of(nodes_.begin(), nodes_.end(), [&](const Node& n) {
       const orders::Entry* e = n.member ? n.member->order().of(depot) : nullptr;
@@ -277,7 +279,7 @@
     });
   };
   return static_cast<std::size_t>(std::count_if(calls_.begin(), calls_.end(), [&](const auto& kv) {
-    return !numbers_.contains(kv.first) && !stands(kv.first, kv.second.second);
+    return !met_.contains(kv.first) && !stands(kv.first, kv.second.second);
   }));
 }
 
--- a/src/standin/ensemble.hpp
+++ b/src/standin/ensemble.hpp
@@ -126,6 +126,7 @@
   std::uint64_t flights_ = 0, sessions_ = 0;
   std::vector<std::string> duties_;
   std::map<orders::CallId, std::uint64_t> numbers_;                       // of calls
+  std::set<orders::CallId> met_;                                          // in entries that somebody heeded
   std::map<std::uint64_t, std::pair<depot::Id, bool>> entries_;           // of the order, as first heeded
   std::map<orders::CallId, std::pair<std::size_t, depot::Id>> calls_;     // on disk at that member
   std::map<std::pair<std::string, std::uint64_t>, std::uint64_t> terms_;  // the session that owned it
