--- a/src/fleet/zones/judge.cpp
+++ b/src/fleet/zones/judge.cpp
@@ -286,8 +286,8 @@
   const double d = demand(e.zone, now_ms), s = static_cast<double>(e.share) / kWhole;
   // What is new to the zone is a miss, each time at first; the fills of the steps before go down meanwhile.
   const bool first = e.phase == Phase::kLeft;
-  const double room = bearable_fills(e.zone, now_ms) - z.fill_rate;
-  double to = s + kRoomUsed * room / std::max(d, 0.1);
+  const double room = kRoomUsed * bearable_fills(e.zone, now_ms) - z.fill_rate;
+  double to = s + room / std::max(d, 0.1);
   to = std::min(to, std::max(kFirstShare, kStepGrows * s));
   if (mistaken(Mistake::kAllAtOnce)) to = 1.0;
   to = std::min(1.0, to);
