Harm the owner of work in each state: killed, stopped and woken late, cut off

Each of announced, asked, out and warming, with owners that do not look at their lease; the majority is lost for 10 s in the test that did so for 3. A warning that the strict build turns into an error is gone (standin/zonal.cpp).

--- a/bench/work.cpp
+++ b/bench/work.cpp
@@ -29,7 +29,7 @@
 void pause(int ms) { std::this_thread::sleep_for(std::chrono::milliseconds(ms)); }
 
 constexpr double kGoodMs = 60.0;  // an answer within that is worth something
-constexpr int kCold = 40, kFillMs = 8, kLease = 1000;
+constexpr int kCold = 150, kFillMs = 20, kLease = 1000;
 
 struct Asked {
   std::uint64_t asked = 0, good = 0, lost = 0;
--- a/src/standin/zonal.cpp
+++ b/src/standin/zonal.cpp
@@ -564,7 +564,8 @@
       w.demand = d.demand;
       w.part = followers[i].part(own);
       d.well += 3;
-      evidence::Seen seen{"a"};
+      evidence::Seen seen;
+      seen.zone = "a";
       seen.tally.n[0] = d.well;
       seen.depots = 4;
       w.seen = {seen};
--- a/tests/work_process_test.cpp
+++ b/tests/work_process_test.cpp
@@ -36,9 +36,12 @@
   CHECK(load.served > 100);
 }
 
-TEST_CASE("The owner is killed in each state of a machine: the next goes on, and nothing is done twice") {
+// `how`: killed, stopped and woken late, or cut off from all; its own look at its lease does not save it.
+static void harm_owner(const std::string& how) {
   for (const std::string state : {"announced", "asked", "out", "warming"}) {
-    Fleet f;
+    FleetOptions options;
+    options.careless = {0, 1, 2, 3, 4};
+    Fleet f(options);
     f.begin();
     Load load(f.d);
     const std::vector<std::size_t> depots{0, 1, 2};
@@ -70,17 +73,25 @@
           return false;
         },
         10'000);
-    INFO("state " << state << ", owner " << owner << "\n" << f.text("kernel"));
+    INFO(how << " in state " << state << ", owner " << owner << "\n" << f.text("kernel"));
     CHECK(seen);
     REQUIRE(owner != Doormen::npos);
-    f.d.kill(owner);
+    if (how == "stopped") load.pause(owner, true);
+    if (how == "killed") f.d.kill(owner);
+    if (how == "stopped") f.d.stop(owner);
+    if (how == "cut off") f.d.between.split({owner});
     f.yard.hold(0, false);
     std::vector<std::size_t> rest;
     for (std::size_t i = 0; i < kDoormen; ++i) {
       if (i != owner) rest.push_back(i);
     }
     REQUIRE(Doormen::until([&] { return f.d.owner_of("work", rest) != Doormen::npos; }));
-    f.d.start(owner);
+    if (how == "killed") f.d.start(owner);
+    if (how == "stopped") f.d.go_on(owner);
+    if (how == "cut off") f.d.between.heal();
+    load.pause(owner, false);
+    // The one before may still pass for the owner by its own word: the next one's is asked.
+    REQUIRE(Doormen::until([&] { return f.d.owner_of("work", {owner}) == Doormen::npos; }));
     CHECK(f.work_on("kernel", depots));
     INFO(f.text("kernel"));
     CHECK(f.all("kernel", depots, "done"));
@@ -91,6 +102,14 @@
   }
 }
 
+TEST_CASE("The owner is killed in each state of a machine: the next goes on, and nothing is done twice") {
+  harm_owner("killed");
+}
+TEST_CASE("The owner is stopped in each state of a machine, and wakes late: it changes nothing") {
+  harm_owner("stopped");
+}
+TEST_CASE("The owner is cut off from all in each state of a machine: the next goes on") { harm_owner("cut off"); }
+
 TEST_CASE("An owner that is stopped and wakes late with its steps in hand changes nothing") {
   FleetOptions o;
   o.careless = {0, 1, 2, 3, 4};  // nor does its own look at its lease save it
@@ -244,7 +263,7 @@
   CHECK(f.work_on("kernel", depots, [&](std::size_t) {
     if (std::exchange(cut, true)) return;
     f.d.between.split({0, 1});  // of three voters two; nobody has a majority
-    std::this_thread::sleep_for(std::chrono::milliseconds(3'000));
+    std::this_thread::sleep_for(std::chrono::milliseconds(10'000));
     f.d.between.heal();
     f.d.between.lose(0.2);
   }));
