Take no board from before a machine's end for the machine's state in the plain model

Checked: the picture had dropped the machine, the observer's copy of the board was from before 'done' was written there; the job's course was right (works.cpp, model). Being taken up again would still be seen.

--- a/src/standin/works.cpp
+++ b/src/standin/works.cpp
@@ -168,6 +168,9 @@
       const work::Active* a = now.of(depot_name(p));
       const State to = work::final(b.states[p]) || a == nullptr ? b.states[p] : a->state;
       State& from = model_[p];
+      // It has left the picture, and the board here is from before its end was written: the next one tells.
+      // Should it be taken up again instead, that is seen.
+      if (a == nullptr && to == State::kWaiting && from >= State::kOut && from < State::kDone) continue;
       const bool put_back = from == State::kAnnounced || from == State::kAsked || from == State::kDraining;
       const bool may = to == from ||
                        (to > from && to <= State::kDone && (to < State::kBack || was_out_.contains(p))) ||
