Ask the process before for its successor, so that it accepts nobody in the upgrade's test

Checked: the new client was at times accepted by the process before, which looks for a successor each 50 ms only (service.cpp, kWatch) and may still accept then.

--- a/tests/daily_process_test.cpp
+++ b/tests/daily_process_test.cpp
@@ -241,6 +241,8 @@
   auto next = site.another(site.around(site.second_door));
   Stream bus = site.bus_joined();
   REQUIRE(site.ready(site.second_door));
+  // The old one looks for a successor each 50 ms, and when it is asked: from then on it accepts nobody.
+  site.ops("GET", "/_ready");
   Stream new_client = site.client();
   Depot drained = site.depots[0];
   drained.state = 1;
