--- a/tests/work_process_test.cpp
+++ b/tests/work_process_test.cpp
@@ -108,7 +108,9 @@
 TEST_CASE("The owner is stopped in each state of a machine, and wakes late: it changes nothing") {
   harm_owner("stopped");
 }
-TEST_CASE("The owner is cut off from all in each state of a machine: the next goes on") { harm_owner("cut off"); }
+TEST_CASE("The owner is cut off from all in each state of a machine: the next goes on") {
+  harm_owner("cut off");
+}
 
 TEST_CASE("An owner that is stopped and wakes late with its steps in hand changes nothing") {
   FleetOptions o;
