Take out what nothing uses and share what stood several times

Seen on reading the whole change again: an age of evidence that was sent and never set; two calls of the judge, follower and evidence that nobody made; a wish's id that nobody read; zones counted where the duty is not there; the depot's zone looked up by walking the list at each attempt; quantiles, threads and arguments written in four benches; two checks of settings without their duty. A figure was not what it said: bench/zones gave the p90 as request_p99_cost.

Evidence now carries its age by zone and weighs by it; kinds are told by what was seen lately, not since the start; GET /_zones shows the judge's counters. tests/figures.hpp holds what benches share.

--- a/bench/daily.cpp
+++ b/bench/daily.cpp
@@ -7,20 +7,15 @@
 #include <cstring>
 #include <iostream>
 
+#include "figures.hpp"
+
 using namespace anisewick;
 using namespace anisewick::peers;
 
 namespace {
 
-double at(std::vector<double> sorted, double share) {
-  if (sorted.empty()) return 0.0;
-  std::sort(sorted.begin(), sorted.end());
-  return sorted[std::min(sorted.size() - 1,
-                         static_cast<std::size_t>(share * static_cast<double>(sorted.size())))];
-}
-double ms_since(std::chrono::steady_clock::time_point from) {
-  return std::chrono::duration<double, std::milli>(std::chrono::steady_clock::now() - from).count();
-}
+using namespace figures;
+
 // The answer of one call, in milliseconds; none: it was no yes.
 std::optional<double> timed(Daily& site, const char* method, const std::string& path) {
   const auto from = std::chrono::steady_clock::now();
@@ -31,7 +26,7 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  const bool quick = argc > 1 && std::strcmp(argv[1], "--quick") == 0;
+  const bool quick = arguments(argc, argv).quick;
   const int calls = quick ? 300 : 3'000, upgrades = quick ? 3 : 20;
   Daily site;
   site.start();
--- a/bench/ownership.cpp
+++ b/bench/ownership.cpp
@@ -12,6 +12,7 @@
 #include <iostream>
 #include <random>
 
+#include "figures.hpp"
 #include "fleet.hpp"
 #include "standin/duel.hpp"
 #include "standin/explorer.hpp"
@@ -26,15 +27,7 @@
 constexpr std::size_t kProcesses = 7;
 constexpr int kLease = 2000;
 
-using Clock = std::chrono::steady_clock;
-double ms_since(Clock::time_point from) {
-  return std::chrono::duration<double, std::milli>(Clock::now() - from).count();
-}
-double at(std::vector<double> all, double share) {
-  if (all.empty()) return 0.0;
-  std::sort(all.begin(), all.end());
-  return all[std::min(all.size() - 1, static_cast<std::size_t>(share * static_cast<double>(all.size())))];
-}
+using namespace figures;
 double cpu_s(pid_t pid) {
   std::ifstream in("/proc/" + std::to_string(pid) + "/stat");
   std::string text;
@@ -198,18 +191,6 @@
   }
 }
 
-// f(i) for each i below n, on as many threads as there are cores.
-void spread_over(std::size_t n, const std::function<void(std::size_t)>& f) {
-  std::atomic<std::size_t> next{0};
-  std::vector<std::thread> threads;
-  for (unsigned t = 0; t < std::max(1u, std::thread::hardware_concurrency()); ++t) {
-    threads.emplace_back([&] {
-      for (std::size_t i; (i = next++) < n;) f(i);
-    });
-  }
-  for (std::thread& t : threads) t.join();
-}
-
 std::pair<double, double> datagrams(std::size_t members) {
   standin::EnsembleOptions o;
   o.seed = members;
@@ -230,12 +211,9 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  bool quick = false;
-  std::uint64_t seed = 1;
-  for (int i = 1; i < argc; ++i) {
-    if (std::strcmp(argv[i], "--quick") == 0) quick = true;
-    if (std::strcmp(argv[i], "--seed") == 0 && i + 1 < argc) seed = std::stoull(argv[++i]);
-  }
+  const Arguments args = arguments(argc, argv);
+  const bool quick = args.quick;
+  const std::uint64_t seed = args.seed;
   Figures f;
   try {
     processes(quick, seed, f);
--- a/bench/work.cpp
+++ b/bench/work.cpp
@@ -9,6 +9,7 @@
 #include <random>
 
 #include "crews.hpp"
+#include "figures.hpp"
 #include "plans.hpp"
 #include "standin/works.hpp"
 
@@ -17,15 +18,7 @@
 
 namespace {
 
-using Clock = std::chrono::steady_clock;
-double ms_since(Clock::time_point from) {
-  return std::chrono::duration<double, std::milli>(Clock::now() - from).count();
-}
-double at(std::vector<double> all, double share) {
-  if (all.empty()) return 0.0;
-  std::sort(all.begin(), all.end());
-  return all[std::min(all.size() - 1, static_cast<std::size_t>(share * static_cast<double>(all.size())))];
-}
+using namespace figures;
 void pause(int ms) { std::this_thread::sleep_for(std::chrono::milliseconds(ms)); }
 
 constexpr double kGoodMs = 60.0;  // an answer within that is worth something
@@ -290,12 +283,9 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  bool quick = false;
-  std::uint64_t seed = 1;
-  for (int i = 1; i < argc; ++i) {
-    if (std::strcmp(argv[i], "--quick") == 0) quick = true;
-    if (std::strcmp(argv[i], "--seed") == 0 && i + 1 < argc) seed = std::stoull(argv[++i]);
-  }
+  const Arguments args = arguments(argc, argv);
+  const bool quick = args.quick;
+  const std::uint64_t seed = args.seed;
   Figures f;
   try {
     for (std::uint64_t k = 0; k < (quick ? 1u : 8u); ++k) {
@@ -329,29 +319,23 @@
       runs.push_back(o);
     }
   }
-  std::atomic<std::size_t> next{0}, sim_out{0}, sim_repeated{0}, sim_limit{0}, sim_reserve{0}, sim_stuck{0},
+  std::atomic<std::size_t> sim_out{0}, sim_repeated{0}, sim_limit{0}, sim_reserve{0}, sim_stuck{0},
       sim_done{0}, sends{0};
   std::mutex mutex;
-  std::vector<std::thread> threads;
-  for (unsigned t = 0; t < std::max(1u, std::thread::hardware_concurrency()); ++t) {
-    threads.emplace_back([&] {
-      for (std::size_t i; (i = next++) < runs.size();) {
-        const auto r = standin::works(runs[i]);
-        sim_out += r.sends_to_out + r.open_at_out;
-        sim_repeated += r.repeated_steps + r.terms_fell;
-        sim_limit += r.over_limit;
-        sim_reserve += r.reserve_breaches;
-        sim_stuck += !r.ended;
-        sim_done += r.done;
-        sends += r.sends;
-        if (r.good()) continue;
-        const std::lock_guard hold(mutex);
-        std::printf("seed %llu, %zu doormen: %s%s\n", static_cast<unsigned long long>(runs[i].seed),
-                    runs[i].members, r.first.c_str(), r.ended ? "" : (" not ended: " + r.waits).c_str());
-      }
-    });
-  }
-  for (std::thread& t : threads) t.join();
+  spread_over(runs.size(), [&](std::size_t i) {
+    const auto r = standin::works(runs[i]);
+    sim_out += r.sends_to_out + r.open_at_out;
+    sim_repeated += r.repeated_steps + r.terms_fell;
+    sim_limit += r.over_limit;
+    sim_reserve += r.reserve_breaches;
+    sim_stuck += !r.ended;
+    sim_done += r.done;
+    sends += r.sends;
+    if (r.good()) return;
+    const std::lock_guard hold(mutex);
+    std::printf("seed %llu, %zu doormen: %s%s\n", static_cast<unsigned long long>(runs[i].seed),
+                runs[i].members, r.first.c_str(), r.ended ? "" : (" not ended: " + r.waits).c_str());
+  });
 
   std::size_t cases = 0, worse = 0;
   for (std::uint64_t k = 1; k <= (quick ? 600u : 4'000u); ++k) {
--- a/bench/zones.cpp
+++ b/bench/zones.cpp
@@ -1,14 +1,11 @@
 // Zones that are left and returned to, measured: days of every kind in simulated time, with the fleet and
 // each doorman alone on the same seeds, and one zone's failure under several processes likewise. Ends with
 // one line of figures, without those of the seeded mistakes, which another program adds.
-#include <atomic>
-#include <cmath>
 #include <cstdio>
-#include <cstring>
 #include <iostream>
-#include <mutex>
-#include <thread>
+#include <map>
 
+#include "figures.hpp"
 #include "standin/zonal.hpp"
 #include "zoned.hpp"
 
@@ -17,31 +14,11 @@
 
 namespace {
 
-double at(std::vector<double> all, double share) {
-  if (all.empty()) return 0.0;
-  std::sort(all.begin(), all.end());
-  return all[std::min(all.size() - 1, static_cast<std::size_t>(share * static_cast<double>(all.size())))];
-}
-double mean(const std::vector<double>& all) {
-  double sum = 0;
-  for (const double x : all) sum += x;
-  return all.empty() ? 0.0 : sum / static_cast<double>(all.size());
-}
-double deviation(const std::vector<double>& all) {
-  const double m = mean(all);
-  double sum = 0;
-  for (const double x : all) sum += (x - m) * (x - m);
-  return all.size() < 2 ? 0.0 : std::sqrt(sum / static_cast<double>(all.size() - 1));
-}
-
-struct Lived {
-  std::vector<double> leave;
-  double good = 0;
-};
+using namespace figures;
 
 // A zone's depots fall silent and come back cold, under processes.
 void process_day(std::uint64_t seed, bool alone, int out_ms, std::vector<double>& leave,
-                 std::vector<double>& good, std::vector<double>& p99) {
+                 std::vector<double>& good, std::vector<double>& quiet) {
   ZonedOptions o;
   o.seed = seed;
   o.alone = alone;
@@ -50,12 +27,8 @@
   Zoned z(o);
   z.begin();
   Zoned::pause(9'000);
-  {
-    std::vector<double> quiet;
-    for (const auto& e : z.ends()) {
-      if (e.at_ms > 4'000) quiet.push_back(e.took_ms);
-    }
-    p99.push_back(at(quiet, 0.9));
+  for (const auto& e : z.ends()) {
+    if (e.at_ms > 4'000) quiet.push_back(e.took_ms);
   }
   const double onset = z.now();
   z.fault(0, {.silent = true});
@@ -71,14 +44,10 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-  bool quick = false;
-  std::uint64_t seed = 1;
-  const char* course = nullptr;
-  for (int i = 1; i < argc; ++i) {
-    if (std::strcmp(argv[i], "--quick") == 0) quick = true;
-    if (std::strcmp(argv[i], "--seed") == 0 && i + 1 < argc) seed = std::stoull(argv[++i]);
-    if (std::strcmp(argv[i], "--course") == 0 && i + 1 < argc) course = argv[++i];
-  }
+  const Arguments args = arguments(argc, argv);
+  const bool quick = args.quick;
+  const std::uint64_t seed = args.seed;
+  const std::string course = args.after("--course");
 
   struct Job {
     standin::ZonalOptions options;
@@ -110,18 +79,11 @@
       most = std::max(most, jobs.back().options.members);
     }
   }
-  std::atomic<std::size_t> next{0};
-  std::vector<std::thread> threads;
-  for (unsigned t = 0; t < std::max(1u, std::thread::hardware_concurrency()); ++t) {
-    threads.emplace_back([&] {
-      for (std::size_t i; (i = next++) < jobs.size();) {
-        jobs[i].fleet = standin::zonal(jobs[i].options);
-        jobs[i].options.alone = true;
-        jobs[i].alone = standin::zonal(jobs[i].options);
-      }
-    });
-  }
-  for (std::thread& t : threads) t.join();
+  spread_over(jobs.size(), [&](std::size_t i) {
+    jobs[i].fleet = standin::zonal(jobs[i].options);
+    jobs[i].options.alone = true;
+    jobs[i].alone = standin::zonal(jobs[i].options);
+  });
 
   std::vector<double> leave, disagree, gains, back, alone_back, kept;
   double peak = 0, alone_peak = 0, worst = 1;
@@ -174,10 +136,10 @@
                 of.size(), at(l, 0.5), at(l, 0.99), mean(g), mean(a), mean(b), mean(ab), p, ap,
                 static_cast<unsigned long long>(f), static_cast<unsigned long long>(m));
   }
-  if (course != nullptr) {
+  if (!course.empty()) {
     for (const Job& j : jobs) {
       if (j.options.day != standin::Day::kSilent || j.options.members != 6) continue;
-      std::FILE* out = std::fopen(course, "w");
+      std::FILE* out = std::fopen(course.c_str(), "w");
       if (out == nullptr) break;
       const std::size_t n = std::min(j.fleet.course.size(), j.alone.course.size());
       for (std::size_t k = 0; k < n; ++k) {
@@ -191,20 +153,19 @@
     }
   }
 
-  std::vector<double> process_leave, none, good, alone_good, p99, alone_p99;
+  std::vector<double> process_leave, none, good, alone_good, quiet, alone_quiet;
   try {
     for (std::uint64_t k = 0; k < (quick ? 1u : 6u); ++k) {
       const int out_ms = k % 2 == 0 ? 5'000 : 20'000;
-      process_day(seed * 100 + k, false, out_ms, process_leave, good, p99);
-      process_day(seed * 100 + k, true, out_ms, none, alone_good, alone_p99);
+      process_day(seed * 100 + k, false, out_ms, process_leave, good, quiet);
+      process_day(seed * 100 + k, true, out_ms, none, alone_good, alone_quiet);
     }
   } catch (const std::exception& e) {
     std::cerr << "bench_zones: " << e.what() << std::endl;
     return 1;
   }
   std::printf("processes: in time from the onset on: fleet %.3f, alone %.3f\n", mean(good), mean(alone_good));
-  const double half =
-      1.96 * deviation(gains) / std::sqrt(std::max<double>(1.0, static_cast<double>(gains.size())));
+  const double half = half_interval(gains);
   const auto n = [](std::uint64_t v) { return static_cast<unsigned long long>(v); };
   std::printf(
       "zones processes=6 sim_doormen=%zu days=%zu leave_p50_ms=%.0f leave_p99_ms=%.0f "
@@ -217,6 +178,6 @@
       most, jobs.size(), at(leave, 0.5), at(leave, 0.99), at(process_leave, 0.5), at(process_leave, 0.99),
       at(disagree, 0.99), mean(gains), mean(gains) - half, mean(gains) + half, mean(back), mean(alone_back),
       peak, alone_peak, n(relapses), n(alone_relapses), n(false_leaves), n(missed), n(old), n(unsound),
-      at(kept, 0.05), worst, mean(p99) - mean(alone_p99));
+      at(kept, 0.05), worst, at(quiet, 0.99) - at(alone_quiet, 0.99));
   return 0;
 }
--- a/src/fleet/evidence/evidence.cpp
+++ b/src/fleet/evidence/evidence.cpp
@@ -39,12 +39,13 @@
   const auto it = zones_.find(zone);
   if (it == zones_.end() && zones_.size() >= kMostZones) return;
   Zone& z = zones_[zone];
-  z.asked_ms = z.places[depot % kPlaces].asked_ms = now_ms;
+  z.places[depot % kPlaces].asked_ms = now_ms;
   if (open_.size() < kMostOpen) open_[attempt] = {zone, depot, now_ms, false};
 }
 
 void Evidence::count(Zone& zone, depot::Id depot, Kind kind, std::int64_t now_ms) {
   ++zone.tally.n[static_cast<std::size_t>(kind)];
+  zone.counted_ms = now_ms;
   if (failed(kind)) zone.places[depot % kPlaces].failed_ms = now_ms;
 }
 
@@ -112,7 +113,14 @@
 std::vector<Seen> Evidence::seen(std::int64_t now_ms) const {
   std::vector<Seen> out;
   for (const auto& [name, z] : zones_) {
-    Seen s{name, z.tally, 0, 0, z.hit.n < kKnown ? 0.0 : z.hit.ms, z.best, z.best_fills};
+    Seen s{name,
+           z.tally,
+           0,
+           0,
+           z.hit.n < kKnown ? 0.0 : z.hit.ms,
+           z.best,
+           z.best_fills,
+           z.counted_ms < 0 ? 0 : static_cast<std::uint32_t>(now_ms - z.counted_ms)};
     for (const Place& p : z.places) {
       s.depots += now_ms - p.asked_ms <= kLatelyMs;
       s.failing += now_ms - p.failed_ms <= kLatelyMs;
@@ -128,9 +136,4 @@
   return it == zones_.end() ? kNone : it->second.tally;
 }
 
-bool Evidence::asked_lately(const std::string& zone, std::int64_t now_ms) const {
-  const auto it = zones_.find(zone);
-  return it != zones_.end() && now_ms - it->second.asked_ms <= kLatelyMs;
-}
-
 }  // namespace anisewick::evidence
--- a/src/fleet/evidence/evidence.hpp
+++ b/src/fleet/evidence/evidence.hpp
@@ -41,6 +41,7 @@
   double usual_ms = 0.0;                  // of an answer that needs no fill; 0: not known
   // Answers and fills a second, at the best of the last hour or so.
   double best = 0.0, best_fills = 0.0;
+  std::uint32_t age_ms = 0;  // since the last attempt there ended, when it was told
   bool operator==(const Seen&) const = default;
 };
 
@@ -59,7 +60,6 @@
 
   std::vector<Seen> seen(std::int64_t now_ms) const;
   const Tally& of(const std::string& zone) const;
-  bool asked_lately(const std::string& zone, std::int64_t now_ms) const;
 
  private:
   struct Usual {
@@ -74,7 +74,7 @@
     Tally tally;
     Usual hit, fill;
     std::array<Place, kPlaces> places;
-    std::int64_t asked_ms = -1'000'000;
+    std::int64_t counted_ms = -1;  // the last end
     double best = 0.0, best_fills = 0.0;
     Tally rated;  // as it stood at `rated_ms`
     std::int64_t rated_ms = -1;
--- a/src/fleet/member/member.cpp
+++ b/src/fleet/member/member.cpp
@@ -668,7 +668,7 @@
 
 std::string Member::zone_call(zones::Mode what, const std::string& zone, std::int64_t now_ms) {
   if (!zones_) return "the duty 'zones' is not among this fleet's duties";
-  std::string why = zones_->call({what, zone, random_() | 1});
+  std::string why = zones_->call({what, zone});
   see_zones(now_ms);
   settle(now_ms);
   return why;
--- a/src/fleet/part/part.cpp
+++ b/src/fleet/part/part.cpp
@@ -93,9 +93,7 @@
   started_ms_ = now();
   site_ = host_.site();
   member::Settings own = settings_.member;
-  if (site_.zone >= 0 && static_cast<std::size_t>(site_.zone) < site_.zones.size()) {
-    own.home = site_.zones[static_cast<std::size_t>(site_.zone)];
-  }
+  own.home = site_.name_of(site_.zone);
   member_ = std::make_unique<member::Member>(own, session_, static_cast<std::uint64_t>(unix_ms()),
                                              std::move(*saved), drawn(), now());
   member_->gone_by([this](depot::Id id) { return host_.gone(id); });
@@ -145,10 +143,10 @@
   if (late > kLateMs) late_at_ms_ = now();
   if (const auto unsent = carrier_.counters().unsent; std::exchange(unsent_, unsent) != unsent)
     unsent_ms_ = now();
-  evidence_.tick(now());
+  if (member_->zones() != nullptr) evidence_.tick(now());
   if (member_->zones() != nullptr && now() >= site_ms_ + kLayMs) {
     site_ms_ = now();
-    site_ = host_.site();
+    look_at_site();
   }
   member_->wall(unix_ms() - now());
   member_->tick(now());
@@ -189,7 +187,7 @@
 
 void Part::carry_out() {
   leave();
-  lay(false);
+  lay();
   for (member::Out& out : member_->take_out()) {
     std::visit([&](const auto& what) { carrier_.send(out.to, what); }, out.what);
   }
@@ -273,9 +271,9 @@
 
 std::int64_t Part::admit(int cls, double worth, double size_kb, std::uint64_t request) {
   const std::int64_t at = now();
+  if (member_->zones() == nullptr) return 0;
   demand_ = demand_ * std::exp(-static_cast<double>(at - demand_ms_) / kDemandMs) + 1.0;
   demand_ms_ = at;
-  if (member_ == nullptr || member_->zones() == nullptr) return 0;
   const double work = site_.client_kb_per_s > 0.0 ? size_kb / site_.client_kb_per_s : 0.0;
   const double draw = static_cast<double>((request * 0x9e3779b97f4a7c15ULL) >> 11) * 0x1.0p-53;
   if (toll_.passes(cls, worth, work, shares_.borne, draw, at)) return 0;
@@ -283,16 +281,23 @@
 }
 
 void Part::began(std::uint64_t request, depot::Id depot) {
-  const auto it = std::find_if(site_.depots.begin(), site_.depots.end(),
-                               [&](const bus::Depot& d) { return d.id == depot; });
-  if (it == site_.depots.end()) return;
-  const auto zone = static_cast<std::size_t>(it->zone);
-  if (it->zone >= 0 && zone < site_.zones.size()) evidence_.began(request, site_.zones[zone], depot, now());
+  if (const auto it = zone_of_.find(depot); it != zone_of_.end()) {
+    evidence_.began(request, site_.name_of(it->second), depot, now());
+  }
 }
 
 void Part::ended(std::uint64_t request, depot::Id depot, const Report& report) {
-  ills_.ended(depot, report.end, now());
-  evidence_.ended(request, report, now());
+  if (member_->crew() != nullptr) ills_.ended(depot, report.end, now());
+  if (member_->zones() != nullptr) evidence_.ended(request, report, now());
+}
+
+void Part::look_at_site() {
+  site_ = host_.site();
+  zone_of_.clear();
+  // Without the duty nothing is counted by zone.
+  for (const bus::Depot& d : site_.depots) {
+    if (member_ && member_->zones() != nullptr && !site_.name_of(d.zone).empty()) zone_of_[d.id] = d.zone;
+  }
 }
 
 // What this doorman saw, and why it is to weigh less where it is ill itself.
@@ -313,17 +318,17 @@
 }
 
 // Lays the shares over the list, where they or the list have changed.
-void Part::lay(bool anew) {
+void Part::lay() {
   zones::Zones* zones = member_->zones();
   if (zones == nullptr) return;
   const std::int64_t at = now();
   const zones::Shares shares = zones->follower().shares(at);
-  if (!anew && shares == shares_ &&
-      (shares.home >= 1.0 && shares.others.empty() ? true : at < laid_ms_ + kLayMs))
-    return;
+  // While something is laid, the list may change under it.
+  const bool plain = shares.home >= 1.0 && shares.others.empty();
+  if (shares == shares_ && (plain || at < laid_ms_ + kLayMs)) return;
   laid_ms_ = at;
   shares_ = shares;
-  site_ = host_.site();
+  look_at_site();
   const zones::Place place{site_.zones, site_.zone, site_.parent_kind, site_.origin_kind, site_.ramp_ms};
   std::map<depot::Id, holds::Lay> laid;
   for (const auto& [id, l] : zones::lay(site_.depots, place, settings_.member.name, shares, unix_ms())) {
@@ -391,10 +396,9 @@
   const service::Site site = host_.site();
   for (const bus::Depot& d : site.depots) {
     if (d.state == bus::State::kGone || d.kind == site.origin_kind) continue;
-    const auto zone = static_cast<std::size_t>(d.zone);
     all.push_back({depot::text_of(d.id),
                    d.kind == site.parent_kind ? work::Kind::kParent : work::Kind::kCache,
-                   d.zone >= 0 && zone < site.zones.size() ? site.zones[zone] : std::string(), d.started_ms});
+                   site.name_of(d.zone), d.started_ms});
   }
   const auto doorman = [&](const membership::Peer& p, std::int64_t up_ms) {
     all.push_back({p.name, work::Kind::kDoorman, p.zone, unix_ms() - up_ms});
--- a/src/fleet/part/part.hpp
+++ b/src/fleet/part/part.hpp
@@ -6,6 +6,7 @@
 #include <deque>
 #include <memory>
 #include <string>
+#include <unordered_map>
 
 #include "disk/workers.hpp"
 #include "fleet/evidence/evidence.hpp"
@@ -45,7 +46,8 @@
  private:
   static constexpr std::size_t kSaid = 8;  // last calls that are shown
   void leave();
-  void lay(bool anew);
+  void lay();
+  void look_at_site();
   zones::Sight sight(std::int64_t now_ms);
   std::pair<int, std::string> take();
   std::vector<work::Known> known() const;
@@ -76,7 +78,8 @@
   std::int64_t laid_ms_ = -1'000'000, demand_ms_ = 0, late_at_ms_ = -1'000'000;
   double demand_ = 0.0;  // requests, counted with a memory of two seconds
   std::uint64_t unsent_ = 0;
-  service::Site site_;  // as of a little while ago
+  service::Site site_;                          // as of a little while ago
+  std::unordered_map<depot::Id, int> zone_of_;  // of its depots
   std::int64_t site_ms_ = -1'000'000;
   std::int64_t unsent_ms_ = -1'000'000;
   std::vector<std::string> left_;
--- a/src/fleet/part/settings.cpp
+++ b/src/fleet/part/settings.cpp
@@ -219,12 +219,14 @@
     reader_.range(in, w, "calm_ms", 0, 3'600'000, "milliseconds");
     s_.work_file = w.file();
     s_.member.work = {w.permit_ms(), f_.drift_ppm(), w.longest_ms(), w.calm_ms()};
-    const bool duty = std::any_of(s_.member.duties.begin(), s_.member.duties.end(),
-                                  [](const ownership::Duty& d) { return d.name == anisewick::work::kDuty; });
-    if (f_.has_work() && !duty) {
-      find("work",
-           "there are settings of work, and no such duty: write duties { name: \"work\" } in all files");
-    }
+    need_duty(f_.has_work(), anisewick::work::kDuty);
+  }
+  void need_duty(bool settings, const std::string& name) {
+    const auto& duties = s_.member.duties;
+    if (!settings || std::any_of(duties.begin(), duties.end(), [&](const auto& d) { return d.name == name; }))
+      return;
+    find(name.c_str(), "there are settings of " + name + ", and no such duty: write duties { name: \"" +
+                           name + "\" } in all files");
   }
 
   void zones() {
@@ -282,12 +284,7 @@
       }
       t.bears[b.zone()] = {b.requests(), b.fills()};
     }
-    const bool duty = std::any_of(s_.member.duties.begin(), s_.member.duties.end(),
-                                  [](const ownership::Duty& d) { return d.name == anisewick::zones::kDuty; });
-    if (f_.has_zones() && !duty) {
-      find("zones",
-           "there are settings of zones, and no such duty: write duties { name: \"zones\" } in all files");
-    }
+    need_duty(f_.has_zones(), anisewick::zones::kDuty);
   }
 
   void rest() {
--- a/src/fleet/work/steps.cpp
+++ b/src/fleet/work/steps.cpp
@@ -322,6 +322,17 @@
   return by;
 }
 
+// The term that is broken, and by whom, some of them.
+std::string Steps::trouble_of(const Job& job, Term term, const Facts& facts, std::int64_t now_ms) const {
+  std::string out = std::string(word(term)) + " of " + job.name + " with";
+  std::size_t named = 0;
+  for (const Machine& m : facts.machines) {
+    if (!m.away || now_.of(m.id) != nullptr || ++named > 4) continue;
+    out += " " + m.id + (ill(m.id, now_ms).empty() ? " away" : " ill");
+  }
+  return named == 0 ? out + " what is out" : out;
+}
+
 std::string Steps::trouble(std::int64_t now_ms) const {
   return now_ms < trouble_until_ms_ ? trouble_ : std::string();
 }
@@ -487,13 +498,7 @@
       wanted_back_.erase(s);
       continue;
     }
-    trouble_ = unrest.empty() ? std::string(word(terms.front())) + " of " + job->name + " with" : unrest;
-    std::size_t named = unrest.empty() ? 0 : 4;
-    for (const Machine& m : facts.machines) {
-      if (!m.away || now_.of(m.id) != nullptr || ++named > 4) continue;
-      trouble_ += " " + m.id + (ill(m.id, now_ms).empty() ? " away" : " ill");
-    }
-    if (named == 0) trouble_ += " what is out";
+    if (unrest.empty()) trouble_ = trouble_of(*job, terms.front(), facts, now_ms);
     // What is out already cannot be taken back, only asked for.
     if (wanted_back_.insert(s).second) {
       for (const std::size_t i : out) {
--- a/src/fleet/work/steps.hpp
+++ b/src/fleet/work/steps.hpp
@@ -95,7 +95,8 @@
   bool returned(const Active& a, const Job& job) const;
   bool warm(const Active& a, const Job& job, std::int64_t unix_ms);
   std::int64_t born(const std::string& machine) const;
-  bool overruled(const Active& a) const;   // staff have put it back since it was announced
+  bool overruled(const Active& a) const;  // staff have put it back since it was announced
+  std::string trouble_of(const Job& job, Term term, const Facts& facts, std::int64_t now_ms) const;
   bool followed(std::uint64_t job) const;  // its file was changed
   bool follow(std::size_t slot, const Job& job, Board& next) const;
   std::set<std::string> in_other_jobs(std::size_t slot) const;
--- a/src/fleet/zones/follower.hpp
+++ b/src/fleet/zones/follower.hpp
@@ -48,10 +48,9 @@
 
   Shares shares(std::int64_t now_ms);
   const Picture& picture() const { return now_; }
-  std::uint64_t number(std::int64_t now_ms);            // of the picture in force
-  double part(std::int64_t now_ms) const;               // 0: it has none
-  bool alone(std::int64_t now_ms) const;                // nothing was heard for too long
-  bool left_alone() const { return own_share_ < 1.0; }  // it has left its own zone by itself
+  std::uint64_t number(std::int64_t now_ms);  // of the picture in force
+  double part(std::int64_t now_ms) const;     // 0: it has none
+  bool alone(std::int64_t now_ms) const;      // nothing was heard for too long
   const std::string& home() const { return home_; }
 
  private:
--- a/src/fleet/zones/judge.cpp
+++ b/src/fleet/zones/judge.cpp
@@ -37,6 +37,8 @@
 constexpr std::int64_t kBorneMs = 1'000, kRateMs = 400;
 constexpr std::size_t kMostValue = 1'000;  // bytes of the register
 
+double fading(std::int64_t ms) { return std::exp2(-static_cast<double>(ms) / 1000.0); }
+
 std::uint32_t parts_of(double share) {
   return static_cast<std::uint32_t>(std::lround(std::clamp(share, 0.0, 1.0) * kWhole));
 }
@@ -47,6 +49,7 @@
   doormen_.clear();
   zones_.clear();
   took_ms_ = rated_ms_ = now_ms;
+  counters_ = {};
   for (const Entry& e : picture.entries) {
     zones_[e.zone].hold_until_ms = now_ms + terms_.hold_ms;
     zones_[e.zone].version_ms = zones_[e.zone].calm_since_ms = now_ms;
@@ -95,10 +98,12 @@
     t.fills = s.tally.fills - was.fills;
     const std::uint64_t bad = t.bad();
     a.alarm.add(t.well(), bad);
-    const double faded = std::exp2(-static_cast<double>(now_ms - a.recent_ms) / 1000.0);
-    a.recent = a.recent * faded + static_cast<double>(t.all());
-    a.recent_bad = a.recent_bad * faded + static_cast<double>(bad);
-    a.recent_ms = now_ms;
+    // What was seen longer ago weighs less, however late it is heard.
+    const std::int64_t seen_ms = now_ms - s.age_ms;
+    const double faded = fading(std::max<std::int64_t>(0, seen_ms - a.recent_ms));
+    for (std::size_t k = 0; k < evidence::kKinds; ++k)
+      a.recent[k] = a.recent[k] * faded + static_cast<double>(t.n[k]);
+    a.recent_ms = std::max(a.recent_ms, seen_ms);
     z.answers += t.well();
     z.fills += t.fills;
     // Of the step that is in force; what was seen before it says nothing about it.
@@ -107,19 +112,31 @@
     a.bad += bad;
     a.over += t.n[static_cast<std::size_t>(evidence::Kind::kOverloaded)];
     a.fills += t.fills;
-    if (bad > 0) a.failed_ms = now_ms;
+    if (bad > 0) a.failed_ms = seen_ms;
     a.well = bad > 0 ? 0 : a.well + t.well();
   }
 }
 
 bool Judge::fresh(const Doorman& d, std::int64_t now_ms) const { return now_ms - d.at_ms <= kFreshMs; }
 
+double Judge::Asked::lately(std::int64_t now_ms) const {
+  double sum = 0;
+  for (const double n : recent) sum += n;
+  return sum * fading(now_ms - recent_ms);
+}
+double Judge::Asked::lately_failed(std::int64_t now_ms) const {
+  double sum = 0;
+  for (std::size_t k = 0; k < evidence::kKinds; ++k)
+    sum += evidence::failed(static_cast<evidence::Kind>(k)) ? recent[k] : 0.0;
+  return sum * fading(now_ms - recent_ms);
+}
+
 // One depot of several that fails is not the zone's matter.
-bool Judge::bad(const Asked& a, bool hosts) const {
+bool Judge::bad(const Asked& a, bool hosts, std::int64_t now_ms) const {
   if (!a.alarm.rings()) return false;
   // What bears another zone's load may be crowded by it: less of it is borne then. Only one that gives next
   // to no answer is left too.
-  if (hosts && a.recent_bad < kHostFailing * a.recent) return false;
+  if (hosts && a.lately_failed(now_ms) < kHostFailing * a.lately(now_ms)) return false;
   if (mistaken(Mistake::kOneDepotIsZone)) return true;
   return 2 * a.failing > a.depots && (a.failing >= 2 || a.depots <= 1);
 }
@@ -127,17 +144,17 @@
 Judge::Verdict Judge::verdict(const std::string& zone, std::int64_t now_ms, std::string* why) const {
   double bad = 0, suspect = 0, well = 0;
   std::size_t doormen = 0, asks = 0;
-  std::array<std::uint64_t, evidence::kKinds> kinds{};
+  std::array<double, evidence::kKinds> kinds{};
   for (const auto& [name, d] : doormen_) {
     const auto it = d.asked.find(zone);
     if (it == d.asked.end() || !fresh(d, now_ms) || d.weight < kWellEnough) continue;
     const Asked& a = it->second;
-    if (a.recent * std::exp2(-static_cast<double>(now_ms - a.recent_ms) / 1000.0) < kAsks) continue;
+    if (a.lately(now_ms) < kAsks) continue;
     ++asks;
-    if (this->bad(a, hosts_.contains(zone))) {
+    if (this->bad(a, hosts_.contains(zone), now_ms)) {
       bad += d.weight;
       ++doormen;
-      for (std::size_t k = 0; k < evidence::kKinds; ++k) kinds[k] += a.last.n[k];
+      for (std::size_t k = 0; k < evidence::kKinds; ++k) kinds[k] += a.recent[k];
     } else if (a.alarm.suspects()) {
       suspect += d.weight;
     } else {
@@ -553,15 +570,6 @@
   return it == doormen_.end() ? 0 : it->second.serial;
 }
 
-std::vector<std::string> Judge::concerned(const Picture& now) const {
-  std::vector<std::string> out;
-  for (const auto& [name, d] : doormen_) {
-    const Entry* e = now.of(d.home);
-    if (e != nullptr && e->phase == Phase::kReturning) out.push_back(name);
-  }
-  return out;
-}
-
 double Judge::budget(const std::string& zone) const {
   const auto it = zones_.find(zone);
   return it == zones_.end() ? 0.0 : it->second.budget;
@@ -581,7 +589,7 @@
     const auto it = d.asked.find(zone);
     if (it == d.asked.end() || !fresh(d, now_ms)) continue;
     ++asks;
-    bad += this->bad(it->second, hosts_.contains(zone));
+    bad += this->bad(it->second, hosts_.contains(zone), now_ms);
     for (std::size_t k = 0; k < evidence::kKinds; ++k) kinds[k] += it->second.last.n[k];
     if (d.weight < kWellEnough && ill.size() < 60) ill += " " + name + " (" + d.ill + ")";
   }
--- a/src/fleet/zones/judge.hpp
+++ b/src/fleet/zones/judge.hpp
@@ -4,6 +4,7 @@
 #ifndef ANISEWICK_FLEET_ZONES_JUDGE_HPP_
 #define ANISEWICK_FLEET_ZONES_JUDGE_HPP_
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -55,8 +56,6 @@
   std::optional<double> part(const std::string& name, const Picture& now, std::int64_t now_ms);
   std::uint64_t number_of(const std::string& name) const;  // that it heeds
   std::uint64_t serial_of(const std::string& name) const;
-  // Doormen that have a part, or should have one.
-  std::vector<std::string> concerned(const Picture& now) const;
 
   // For whoever asks: by whose evidence, and what is seen now.
   std::string evidence(const std::string& zone, std::int64_t now_ms) const;
@@ -73,8 +72,10 @@
     evidence::Tally last;
     bool known = false;
     Alarm alarm;
-    double recent = 0.0, recent_bad = 0.0;  // attempts, halved each second
+    std::array<double, evidence::kKinds> recent{};  // attempts by their end, halved each second
     std::int64_t recent_ms = 0;
+    double lately(std::int64_t now_ms) const;         // attempts
+    double lately_failed(std::int64_t now_ms) const;  // of these
     std::uint32_t depots = 0, failing = 0;
     double best = 0.0, best_fills = 0.0;
     // Since the zone's share became what it is, and this doorman heeds that; and since its last failure.
@@ -107,7 +108,7 @@
   enum class Verdict { kNone, kWell, kSuspect, kBad };
 
   bool fresh(const Doorman& d, std::int64_t now_ms) const;
-  bool bad(const Asked& a, bool hosts) const;
+  bool bad(const Asked& a, bool hosts, std::int64_t now_ms) const;
   Verdict verdict(const std::string& zone, std::int64_t now_ms, std::string* why = nullptr) const;
   double demand(const std::string& zone, std::int64_t now_ms) const;
   std::int64_t part_span() const {  // by the owner's clock, until a part that it gave out is surely over
--- a/src/fleet/zones/picture.cpp
+++ b/src/fleet/zones/picture.cpp
@@ -133,7 +133,6 @@
   w.set_home(word.home);
   w.set_demand(static_cast<float>(word.demand));
   w.set_part(static_cast<float>(word.part));
-  w.set_age_ms(word.age_ms);
   for (const evidence::Seen& s : word.seen) {
     auto& out = *w.add_seen();
     out.set_zone(s.zone);
@@ -144,6 +143,7 @@
     out.set_usual_ms(static_cast<float>(s.usual_ms));
     out.set_best(static_cast<float>(s.best));
     out.set_best_fills(static_cast<float>(s.best_fills));
+    out.set_age_ms(s.age_ms);
   }
   return w.SerializeAsString();
 }
@@ -162,12 +162,12 @@
   word.home = w.home();
   word.demand = w.demand();
   word.part = w.part();
-  word.age_ms = w.age_ms();
   for (const auto& in : w.seen()) {
     if (!is_name(in.zone()) || in.ends_size() != static_cast<int>(evidence::kKinds) ||
         !is_rate(in.usual_ms()) || !is_rate(in.best()) || !is_rate(in.best_fills()))
       return std::nullopt;
-    evidence::Seen s{in.zone(), {}, in.depots(), in.failing(), in.usual_ms(), in.best(), in.best_fills()};
+    evidence::Seen s{in.zone(),     {},        in.depots(),     in.failing(),
+                     in.usual_ms(), in.best(), in.best_fills(), in.age_ms()};
     for (std::size_t k = 0; k < evidence::kKinds; ++k) s.tally.n[k] = in.ends(static_cast<int>(k));
     s.tally.fills = in.fills();
     word.seen.push_back(std::move(s));
--- a/src/fleet/zones/picture.hpp
+++ b/src/fleet/zones/picture.hpp
@@ -64,7 +64,6 @@
   std::string home;
   double demand = 0.0;  // requests a second
   double part = 0.0;
-  std::uint32_t age_ms = 0;
   std::vector<evidence::Seen> seen;
 };
 // What the owner says to a doorman; without a part it may be passed on.
--- a/src/fleet/zones/zones.cpp
+++ b/src/fleet/zones/zones.cpp
@@ -40,7 +40,7 @@
   if (!w.ParseFromString(saved)) return;
   for (const auto& in : w.wishes()) {
     if (in.what() > static_cast<std::uint32_t>(Mode::kReturn) || wishes_.size() == kMostWishes) continue;
-    wishes_.push_back({static_cast<Mode>(in.what()), in.zone(), in.id()});
+    wishes_.push_back({static_cast<Mode>(in.what()), in.zone()});
   }
   // What was in force before holds until the fleet says otherwise, or for keep_ms.
   if (const Picture before = saved_picture(saved); before.number > 0) {
@@ -241,7 +241,6 @@
     auto& out = *w.add_wishes();
     out.set_what(static_cast<std::uint32_t>(wish.what));
     out.set_zone(wish.zone);
-    out.set_id(wish.id);
   }
   return w.SerializeAsString();
 }
@@ -272,6 +271,12 @@
     if (fenced()) out += "; " + judge_.evidence(zone, now_ms);
     out += "\n";
   }
+  if (fenced()) {
+    const Judge::Counters& c = judge_.counters();
+    out += "since this owner took it: " + std::to_string(c.left) + " left, " + std::to_string(c.steps) +
+           " steps, " + std::to_string(c.returned) + " returned, " + std::to_string(c.relapses) +
+           " relapses, " + std::to_string(c.all_bad) + " looks at which no zone was well\n";
+  }
   for (const Wish& w : wishes_) out += "call: " + w.zone + " " + phrase(w.what) + ", not the fleet's yet\n";
   return out;
 }
--- a/src/fleet/zones/zones.hpp
+++ b/src/fleet/zones/zones.hpp
@@ -33,7 +33,6 @@
 struct Wish {
   Mode what = Mode::kAuto;
   std::string zone;
-  std::uint64_t id = 0;
 };
 
 class Zones {
--- a/src/service/fleet.hpp
+++ b/src/service/fleet.hpp
@@ -36,6 +36,12 @@
   std::int64_t ramp_ms = 0;              // a cache that was started is cold for so long
   double client_kb_per_s = 0.0;          // that is sent to a client
   std::int64_t max_come_back_ms = 1000;  // that a refused one may be told
+  // Empty: it has no name.
+  const std::string& name_of(int number) const {
+    static const std::string kNone;
+    const auto place = static_cast<std::size_t>(number);
+    return number >= 0 && place < zones.size() ? zones[place] : kNone;
+  }
 };
 
 // What a fleet tells its doorman, on the doorman's loop.
--- a/tests/fleet_mistakes_test.cpp
+++ b/tests/fleet_mistakes_test.cpp
@@ -1,9 +1,9 @@
 // Mistakes seeded in a build of their own: the explorer or the simulation finds each, and none without one.
 #define CATCH_CONFIG_MAIN
-#include <atomic>
 #include <catch2/catch.hpp>
-#include <thread>
+#include <iostream>
 
+#include "figures.hpp"
 #include "standin/mistaken.hpp"
 
 using namespace anisewick;
@@ -12,14 +12,7 @@
   const auto& all = standin::mistakes();
   std::vector<standin::Found> found(all.size());
   // Which mistake is in force is a thread's own.
-  std::atomic<std::size_t> next{0};
-  std::vector<std::thread> threads;
-  for (unsigned t = 0; t < std::max(1u, std::thread::hardware_concurrency()); ++t) {
-    threads.emplace_back([&] {
-      for (std::size_t i; (i = next++) < all.size();) found[i] = standin::look_for(all[i].mistake, 400);
-    });
-  }
-  for (std::thread& t : threads) t.join();
+  figures::spread_over(all.size(), [&](std::size_t i) { found[i] = standin::look_for(all[i].mistake, 400); });
   for (std::size_t i = 0; i < all.size(); ++i) {
     const standin::Found& f = found[i];
     UNSCOPED_INFO(all[i].name << ": " << f.by << ", " << f.detail);
