Take together what several doormen saw of a depot that gives no answer

Need: each doorman asks a depot that failed more and more seldom, so three failures in a row at each of two took longer than needed, more so at little traffic. Now a doorman tells how many in a row it had, and the owner of work adds them up: as many as chance does not make at one failure in a hundred, more where more doormen speak, at two of them at least; or two who are sure, as before. Not taken: a share of those who ask, for who asks a depot is not told.

--- a/src/fleet/evidence/ills.cpp
+++ b/src/fleet/evidence/ills.cpp
@@ -1,6 +1,7 @@
 #include "fleet/evidence/ills.hpp"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace anisewick::evidence {
@@ -22,15 +23,18 @@
   row.last_ms = now_ms;
 }
 
-std::vector<depot::Id> Ills::now(std::int64_t now_ms) const {
-  std::vector<std::pair<std::int64_t, depot::Id>> ill;
+std::vector<Ills::Ill> Ills::now(std::int64_t now_ms) const {
+  std::vector<std::pair<std::int64_t, Ill>> ill;
   for (const auto& [depot, row] : rows_) {
-    if (row.failed >= kInARow && now_ms - row.last_ms <= kLastsMs) ill.emplace_back(row.since_ms, depot);
+    if (now_ms - row.last_ms <= kLastsMs) ill.push_back({row.since_ms, {depot, row.failed}});
   }
-  std::sort(ill.begin(), ill.end());
+  std::sort(ill.begin(), ill.end(), [](const auto& a, const auto& b) {
+    return std::tuple(-static_cast<std::int64_t>(a.second.in_a_row), a.first, a.second.depot) <
+           std::tuple(-static_cast<std::int64_t>(b.second.in_a_row), b.first, b.second.depot);
+  });
   if (ill.size() > kMostTold) ill.resize(kMostTold);
-  std::vector<depot::Id> out;
-  for (const auto& [since, depot] : ill) out.push_back(depot);
+  std::vector<Ill> out;
+  for (const auto& [since, one] : ill) out.push_back(one);
   return out;
 }
 
--- a/src/fleet/part/part.cpp
+++ b/src/fleet/part/part.cpp
@@ -117,8 +117,9 @@
                 },
                 host_.serving, host_.idle,
                 [this] {
-                  std::vector<std::string> ill;
-                  for (const depot::Id id : ills_.now(now())) ill.push_back(depot::text_of(id));
+                  std::vector<std::pair<std::string, std::uint32_t>> ill;
+                  for (const auto& i : ills_.now(now()))
+                    ill.emplace_back(depot::text_of(i.depot), i.in_a_row);
                   return ill;
                 }});
   }
--- a/src/fleet/work/board.hpp
+++ b/src/fleet/work/board.hpp
@@ -24,7 +24,8 @@
 constexpr std::size_t kRolls = 8;            // registers for names
 constexpr std::size_t kMostActive = 16;      // machines in progress at once, of all jobs
 constexpr std::size_t kMostMachines = 200;   // of a job
-constexpr std::size_t kMostIll = 16;         // depots that one doorman says are ill
+constexpr std::size_t kMostIll = 16;         // depots that one doorman says give no answer
+constexpr std::uint32_t kInARow = 3;         // attempts by which a doorman alone would take one for ill
 constexpr const char* kNowKey = "work.now";  // the register that all read
 
 enum class State : std::uint8_t {
--- a/src/fleet/work/crew.hpp
+++ b/src/fleet/work/crew.hpp
@@ -27,7 +27,9 @@
   std::function<bool(const std::string& depot)> ready = [](const std::string&) { return true; };
   std::function<bool()> up = [] { return true; };
   std::function<bool()> idle = [] { return false; };
-  std::function<std::vector<std::string>()> ill = [] { return std::vector<std::string>{}; };
+  std::function<std::vector<std::pair<std::string, std::uint32_t>>()> ill = [] {
+    return std::vector<std::pair<std::string, std::uint32_t>>{};
+  };
 };
 
 class Crew {
--- a/src/fleet/work/steps.cpp
+++ b/src/fleet/work/steps.cpp
@@ -16,7 +16,6 @@
 constexpr std::int64_t kLaterMs = 5'000;  // a machine that somebody needs is not announced again before
 constexpr std::size_t kMostSeen = 64;     // pictures whose time is kept
 constexpr std::size_t kMostEnded = 16;    // processes of one name
-constexpr std::size_t kLeastIll = 2;      // doormen who find a depot ill, where there are as many
 constexpr double kLeastFills = 0.02;      // a share of fills this small is warm in any case
 
 bool in_use(State s) { return s == State::kAnnounced || s == State::kAsked || s == State::kDraining; }
@@ -310,15 +309,18 @@
 
 std::vector<std::string> Steps::ill(const std::string& depot, std::int64_t now_ms) const {
   std::vector<std::string> by;
+  std::vector<std::uint32_t> rows;
   std::size_t speak = 0;
   for (const auto& [name, h] : heard_) {
     if (!fresh(name, now_ms)) continue;
     ++speak;
-    const auto& ill = h.word.ill;
-    if (std::find(ill.begin(), ill.end(), depot) != ill.end()) by.push_back(name);
+    for (const auto& [id, in_a_row] : h.word.ill) {
+      if (id != depot) continue;
+      by.push_back(name);
+      rows.push_back(in_a_row);
+    }
   }
-  // One alone may be cut off from it.
-  if (by.size() < std::min(kLeastIll, speak)) by.clear();
+  if (!work::ill(speak, rows)) by.clear();
   return by;
 }
 
--- a/src/fleet/work/word.cpp
+++ b/src/fleet/work/word.cpp
@@ -6,6 +6,10 @@
 #include "work.pb.h"
 
 namespace anisewick::work {
+namespace {
+constexpr std::size_t kLeastIll = 2;  // doormen whom a depot gives no answer, where there are as many
+constexpr std::size_t kIllShare = 8;  // one attempt more is needed for so many doormen
+}  // namespace
 
 const Line* Word::of(const std::string& machine) const {
   const auto it =
@@ -13,6 +17,21 @@
   return it == lines.end() ? nullptr : &*it;
 }
 
+// One alone may be cut off from it. Of several, each asks a depot that failed more and more seldom, so what
+// they saw is taken together: where one attempt in a hundred fails, as many as are asked for here are the
+// last ones of their doormen at a time once in some ten thousand looks, however many doormen there are. Where
+// few of many ask it at all, two who are sure are enough.
+bool ill(std::size_t speak, const std::vector<std::uint32_t>& in_a_row) {
+  if (in_a_row.size() < std::min(kLeastIll, speak)) return false;
+  std::size_t failed = 0, sure = 0;
+  for (const std::uint32_t n : in_a_row) {
+    failed += std::min(n, kInARow);
+    sure += n >= kInARow;
+  }
+  const std::size_t needed = kInARow - 1 + (speak + kIllShare - 1) / kIllShare;
+  return failed >= needed || sure >= kLeastIll;
+}
+
 std::string encode(const Word& word) {
   wire::WorkWord w;
   w.set_number(word.number);
@@ -29,7 +48,10 @@
     out.set_fills(l.fills);
     if (l.gone) out.set_gone(true);
   }
-  for (const std::string& depot : word.ill) w.add_ill(depot);
+  for (const auto& [depot, in_a_row] : word.ill) {
+    w.add_ill(depot);
+    w.add_in_a_row(in_a_row);
+  }
   return w.SerializeAsString();
 }
 
@@ -48,7 +70,10 @@
     word.lines.push_back(
         {in.machine(), in.open(), in.needed(), in.born_ms(), in.answers(), in.fills(), in.gone()});
   }
-  word.ill.assign(w.ill().begin(), w.ill().end());
+  // An older version told only those with as many as make one ill.
+  for (int i = 0; i < w.ill_size(); ++i) {
+    word.ill.emplace_back(w.ill(i), i < w.in_a_row_size() ? w.in_a_row(i) : kInARow);
+  }
   return word;
 }
 
--- a/src/fleet/work/word.hpp
+++ b/src/fleet/work/word.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace anisewick::work {
@@ -20,15 +21,20 @@
   bool operator==(const Line&) const = default;
 };
 struct Word {
-  std::uint64_t number = 0;      // of the picture; it is on disk
-  std::uint64_t session = 0;     // of the process
-  bool up = false;               // in service: started, caught up and in no drain
-  bool idle = false;             // in a drain, with nothing open
-  std::vector<Line> lines;       // of machines in progress
-  std::vector<std::string> ill;  // depots that give it no answer, whatever the bus says
+  std::uint64_t number = 0;   // of the picture; it is on disk
+  std::uint64_t session = 0;  // of the process
+  bool up = false;            // in service: started, caught up and in no drain
+  bool idle = false;          // in a drain, with nothing open
+  std::vector<Line> lines;    // of machines in progress
+  // Depots that give it no answer, whatever the bus says, and its attempts in a row that got none.
+  std::vector<std::pair<std::string, std::uint32_t>> ill;
   const Line* of(const std::string& machine) const;
 };
 
+// Whether a depot is ill, by the attempts in a row that got no answer of it at each doorman of whom it is
+// said; `speak`: doormen who say anything at present.
+bool ill(std::size_t speak, const std::vector<std::uint32_t>& in_a_row);
+
 std::string encode(const Word& word);
 std::optional<Word> word_from(const std::string& bytes);
 
--- a/src/standin/permits.cpp
+++ b/src/standin/permits.cpp
@@ -167,7 +167,7 @@
                        return line;
                      },
                      [](const std::string&) { return true; }, [] { return true; }, [] { return false; },
-                     [] { return std::vector<std::string>{}; }});
+                     [] { return std::vector<std::pair<std::string, std::uint32_t>>{}; }});
   }
   work::State state() const {
     const auto it = registers_.find(work::kNowKey);
--- a/tests/work_test.cpp
+++ b/tests/work_test.cpp
@@ -6,6 +6,7 @@
 #include <random>
 #include <set>
 
+#include "fleet/work/word.hpp"
 #include "plans.hpp"
 
 using namespace anisewick::work;
@@ -111,3 +112,26 @@
     CHECK(plan(f, t).clash == c.clash);
   }
 }
+
+TEST_CASE("A depot is ill by what several doormen saw of it together, and never by one of several") {
+  using Rows = std::vector<std::uint32_t>;
+  struct Case {
+    std::size_t speak;
+    Rows in_a_row;
+    bool ill;
+  };
+  const Case cases[] = {
+      {1, {2}, false},           {1, {3}, true},
+      {2, {3}, false},  // the other finds it well
+      {5, {9}, false},           {5, {1, 1}, false},
+      {5, {2, 1}, true},                                  // three failures at two doormen
+      {5, {1, 1, 1}, true},      {40, {1, 1, 1}, false},  // of forty three are chance
+      {40, {2, 2, 3}, true},     {300, {3, 2, 2}, false},
+      {300, {3, 3}, true},  // two who are sure
+      {300, Rows(25, 1), false}, {300, Rows(25, 2), true},
+  };
+  for (const Case& c : cases) {
+    INFO(c.speak << " speak, " << c.in_a_row.size() << " of them say so");
+    CHECK(ill(c.speak, c.in_a_row) == c.ill);
+  }
+}
