Hold the ports that tests give to programs, and let clients notice a restart

Seen: 'Staff leave a zone' lost 4 requests 0.2 ms after a doorman was back, and once a doorman never said ready. Cause of the first: away() lasts 40 ms and a client looks each 150 ms, so one that saw nothing of the restart wrote on the old connection (Zoned::run).

--- a/tests/daily.hpp
+++ b/tests/daily.hpp
@@ -30,8 +30,12 @@
   std::string path;
 };
 
-// A port that was free a moment ago.
-inline int free_port() { return Listener(false).port(); }
+// A port that is held for a program's door: one that is only free could be taken by any connection that goes
+// out.
+struct Port {
+  operator int() const { return held.port(); }
+  Listener held{false};
+};
 
 // The status of one call, and its answer whole.
 struct Called {
@@ -81,7 +85,7 @@
     return false;
   }
   Folder folder;
-  int door = free_port(), second_door = free_port();
+  Port door, second_door;
 };
 
 inline Ask numbered(std::uint64_t n) {
--- a/tests/daily_process_test.cpp
+++ b/tests/daily_process_test.cpp
@@ -174,7 +174,7 @@
     std::vector<Stream> buses;
     std::unique_ptr<Program> next;
     int door = site.door, newest = site.door;
-    const auto other = [&] { return door == site.door ? site.second_door : site.door; };
+    const auto other = [&]() -> int { return door == site.door ? site.second_door : site.door; };
     for (const char* step = c.steps; *step != '\0'; ++step) {
       INFO("at " << *step);
       if (*step == 'n') {
--- a/tests/depot_process_test.cpp
+++ b/tests/depot_process_test.cpp
@@ -4,6 +4,7 @@
 #include <catch2/catch.hpp>
 #include <fstream>
 #include <map>
+#include <memory>
 #include <random>
 
 #include "boxes.hpp"
@@ -17,7 +18,17 @@
 
 namespace {
 
-std::uint16_t free_port() { return static_cast<std::uint16_t>(peers::Listener(false).port()); }
+// Held until the end of the test: one that is only free could be taken by any connection that goes out.
+class Ports {
+ public:
+  std::uint16_t next() {
+    held_.push_back(std::make_unique<peers::Listener>(false));
+    return static_cast<std::uint16_t>(held_.back()->port());
+  }
+
+ private:
+  std::vector<std::unique_ptr<peers::Listener>> held_;
+};
 
 // The value of a field of a line of JSON; empty: it has none.
 std::string field(const std::string& line, const std::string& name) {
@@ -219,7 +230,8 @@
     boxes[i] = std::make_unique<Process>(place, text, "depot" + std::to_string(i));
     ports[i] = boxes[i]->port;
   };
-  for (int i = 0; i < 3; ++i) start(i, free_port());
+  Ports held;
+  for (int i = 0; i < 3; ++i) start(i, held.next());
   for (int i = 0; i < 3; ++i) site.add(ids[i], ports[i], i == 2 ? 1 : 0);
   site.bus.purge(0xdead, unix_ms());
 
@@ -231,7 +243,7 @@
   config.replace(config.find("127.0.0.1:7070"), 14, "127.0.0.1:" + std::to_string(site.bus.port()));
   const std::string file = place.path + "/config.json";
   std::ofstream(file) << config;
-  const std::uint16_t front = free_port();
+  const std::uint16_t front = held.next();
   peers::Program doorman(ANISEWICK_PROGRAM, file, "127.0.0.1:" + std::to_string(front));
   std::unique_ptr<peers::Stream> client;
   REQUIRE(soon([&] {
--- a/tests/fleet.hpp
+++ b/tests/fleet.hpp
@@ -32,7 +32,6 @@
     site.write();
     for (std::size_t i = 0; i < options.members; ++i) {
       auto& m = members_.emplace_back();
-      m.door = free_port();
       m.front = std::make_unique<Listener>(false);
       std::filesystem::create_directory(folder(i));
     }
@@ -202,7 +201,7 @@
 
  private:
   struct Member {
-    int door = 0;
+    Port door;
     std::unique_ptr<Listener> front;  // holds the port
     std::unique_ptr<Program> program;
   };
--- a/tests/zoned.hpp
+++ b/tests/zoned.hpp
@@ -59,6 +59,7 @@
   static void pause(int ms) { std::this_thread::sleep_for(std::chrono::milliseconds(ms)); }
 
   void away(std::size_t i, bool on) {  // its clients go elsewhere, before it is harmed
+    if (on) ++processes_[i];  // a client that sees nothing of it goes to the next one anew all the same
     away_[i] = on;
     if (on) pause(40);
   }
@@ -156,11 +157,14 @@
   void run(std::size_t i, std::size_t k) {
     std::mt19937_64 random(options.seed * 1'000 + i * kClients + k);
     std::optional<Stream> s;
+    int process = 0;
     auto next = Clock::now() + std::chrono::milliseconds(static_cast<int>(k) * options.gap_ms);
     std::uint64_t n = k * (kEach / kClients);
     while (!over_) {
       next += std::chrono::milliseconds(options.gap_ms * static_cast<int>(kClients));
       std::this_thread::sleep_until(next);
+      if (process != processes_[i]) s.reset();
+      process = processes_[i];
       if (!d.up(i) || away_[i]) {
         s.reset();
         next = Clock::now();
@@ -200,6 +204,7 @@
   std::vector<End> ends_;
   std::atomic<bool> over_ = false;
   std::array<std::atomic<bool>, 16> away_{};
+  std::array<std::atomic<int>, 16> processes_{};
   Clock::time_point from_ = Clock::now();
   std::vector<std::thread> threads_;
 };
