Hold a return's fills below what is bearable in its worst second; tell a new owner what was seen

Traced: (1) Judge::step took a fixed 0.55 of what is bearable and the last second's fills, so that a quiet second before a busy one made a step too large; now the mean of which a second sees more once in a thousand, and fills over some seconds. (2) A new owner threw away what it heard before the register was read (Judge::took), began each doorman's test at zero and heard those who see nothing wrong a second later, without whom no zone is well and none is left; now each tells how its own watch stands, and speaks at once to an owner of another term. (3) A first step that went ill at 3 of 8 attempts was left with a longer hold; now it goes back to the trickle. (4) A smaller part counted only after the larger was over, three seconds in which others got nothing; now once the doorman says that it holds it.

--- a/src/fleet/member/member.cpp
+++ b/src/fleet/member/member.cpp
@@ -622,8 +622,8 @@
       op == 0 ? zones_->again(ask.key) : void(ops_[op] = Whose::kZones);
     }
   }
-  if (auto word = zones_->word_due(now_ms)) {
-    const auto [owner, term] = this->owner(zones::kDuty);
+  const auto [owner, term] = this->owner(zones::kDuty);
+  if (auto word = zones_->word_due(owner.empty() ? 0 : term, now_ms)) {
     if (zones_->term() != 0) {
       zones_->heard(settings_.name, *word, now_ms);
     } else if (!owner.empty() && owner != settings_.name) {
--- a/src/fleet/zones/follower.cpp
+++ b/src/fleet/zones/follower.cpp
@@ -53,8 +53,12 @@
       std::find_if(sent_.begin(), sent_.end(), [&](const auto& s) { return s.first == tell.serial; });
   if (it == sent_.end()) return;
   const std::int64_t until = it->second + terms_.part_ms - terms_.part_ms * terms_.drift_ppm / 1'000'000 - 1;
-  if (until < part_until_ms_) return;  // an older answer
-  part_ = *tell.part;
+  if (until < part_until_ms_ || (until == part_until_ms_ && tell.serial < part_serial_))
+    return;  // an older answer
+  // Of several answers to one word it keeps the least, in whatever order they come: so what it says that it
+  // holds is the most that it ever holds by that word.
+  part_ = tell.serial == part_serial_ && until == part_until_ms_ ? std::min(part_, *tell.part) : *tell.part;
+  part_serial_ = tell.serial;
   part_until_ms_ = until;
 }
 
@@ -65,6 +69,12 @@
 
 void Follower::promote(std::int64_t now_ms) {
   if (!next_ || now_ms < next_ms_) return;
+  for (auto& [zone, watch] : watches_) {
+    const Entry* before = now_.of(zone);
+    const Entry* after = next_->of(zone);
+    // What is seen under another share is judged by itself, as the owner does.
+    if ((before == nullptr ? 0 : before->version) != (after == nullptr ? 0 : after->version)) watch.calm();
+  }
   now_ = std::move(*next_);
   next_.reset();
 }
@@ -83,15 +93,15 @@
 void Follower::saw(const std::vector<evidence::Seen>& seen, double demand, std::int64_t now_ms) {
   demand_ = demand;
   for (const evidence::Seen& s : seen) {
-    if (s.zone != home_) continue;
-    const evidence::Tally was = std::exchange(last_, s.tally);
-    if (!std::exchange(known_, true)) continue;
-    const std::uint64_t well = s.tally.well() - was.well(), bad = s.tally.bad() - was.bad();
-    alarm_.add(well, bad);
+    if (!watches_.contains(s.zone) && watches_.size() >= kMostZones) continue;
+    Watch& watch = watches_[s.zone];
+    const auto came = watch.add(s.tally, now_ms - s.age_ms);
+    if (s.zone != home_ || !came) continue;
+    const std::uint64_t bad = came->bad();
     if (bad > 0) failed_ms_ = now_ms;
-    well_ = bad > 0 ? 0 : well_ + well;
+    well_ = bad > 0 ? 0 : well_ + came->well();
     const bool zone = 2 * s.failing > s.depots && (s.failing >= 2 || s.depots <= 1);
-    if (!alarm_.rings() || !zone) {
+    if (!watch.alarm().rings() || !zone) {
       rings_ms_ = -1;
     } else if (rings_ms_ < 0) {
       rings_ms_ = now_ms;
@@ -123,10 +133,18 @@
     own_share_ = std::min(1.0, 2.0 * own_share_);
     own_ms_ = now_ms;
     well_ = 0;
-    if (own_share_ >= 1.0) alarm_.reset(), rings_ms_ = -1;
+    if (own_share_ >= 1.0) watches_[home_].calm(), rings_ms_ = -1;
   }
 }
 
+std::map<std::string, Felt> Follower::felt(std::int64_t now_ms) const {
+  std::map<std::string, Felt> out;
+  for (const auto& [zone, watch] : watches_) {
+    if (auto felt = watch.felt(now_ms)) out[zone] = *felt;
+  }
+  return out;
+}
+
 Shares Follower::shares(std::int64_t now_ms) {
   promote(now_ms);
   Shares s;
--- a/src/fleet/zones/follower.hpp
+++ b/src/fleet/zones/follower.hpp
@@ -50,7 +50,12 @@
   const Picture& picture() const { return now_; }
   std::uint64_t number(std::int64_t now_ms);  // of the picture in force
   double part(std::int64_t now_ms) const;     // 0: it has none
-  bool alone(std::int64_t now_ms) const;      // nothing was heard for too long
+  std::uint64_t part_serial() const {
+    return part_serial_;
+  }  // of the word that the tell answered which gave it
+  // Its own watch on zones, for an owner who knows nothing yet.
+  std::map<std::string, Felt> felt(std::int64_t now_ms) const;
+  bool alone(std::int64_t now_ms) const;  // nothing was heard for too long
   const std::string& home() const { return home_; }
 
  private:
@@ -64,12 +69,11 @@
   std::int64_t next_ms_ = 0, heard_ms_ = -1'000'000;
   std::deque<std::pair<std::uint64_t, std::int64_t>> sent_;  // words, and when they went
   double part_ = 0.0;
+  std::uint64_t part_serial_ = 0;
   std::int64_t part_until_ms_ = -1'000'000;
   double demand_ = 0.0;
-  // Its own evidence on its own zone, for the case that it alone does not reach it.
-  Alarm alarm_;
-  evidence::Tally last_;
-  bool known_ = false;
+  std::map<std::string, Watch> watches_;
+  // On its own zone, for the case that it alone does not reach it.
   std::uint64_t well_ = 0;  // since the last failure
   double own_share_ = 1.0;
   std::int64_t rings_ms_ = -1, own_ms_ = 0, failed_ms_ = -1'000'000;
--- a/src/fleet/zones/judge.cpp
+++ b/src/fleet/zones/judge.cpp
@@ -28,8 +28,7 @@
 constexpr double kStepGrows = 4.0, kFirstShare = 0.1;  // times the share before, at the most
 constexpr double kTrickleMost = 0.15;
 constexpr std::uint32_t kMostRelapses = 6;
-constexpr double kRoomUsed =
-    0.55;  // of what is bearable: requests come by chance, and more than one is new at a time
+constexpr double kSmooth = 0.4, kSmoothLong = 0.1;  // of each new rate
 constexpr double kGrows = 2.0;  // a zone whose best is not known bears so many times what it was seen to bear
 constexpr double kFillsGrow = 2.0;   // and so many times its fills
 constexpr double kLeastFills = 4.0;  // a second
@@ -37,23 +36,26 @@
 constexpr std::int64_t kBorneMs = 1'000, kRateMs = 400;
 constexpr std::size_t kMostValue = 1'000;  // bytes of the register
 
-double fading(std::int64_t ms) { return std::exp2(-static_cast<double>(ms) / 1000.0); }
-
 std::uint32_t parts_of(double share) {
   return static_cast<std::uint32_t>(std::lround(std::clamp(share, 0.0, 1.0) * kWhole));
 }
 
 }  // namespace
 
-void Judge::took(const Picture& picture, std::int64_t now_ms) {
+void Judge::took(std::int64_t now_ms) {
   doormen_.clear();
   zones_.clear();
   took_ms_ = rated_ms_ = now_ms;
   counters_ = {};
+}
+
+void Judge::found(const Picture& picture, std::int64_t now_ms) {
+  took_ms_ = now_ms;
   for (const Entry& e : picture.entries) {
     zones_[e.zone].hold_until_ms = now_ms + terms_.hold_ms;
     zones_[e.zone].version_ms = zones_[e.zone].calm_since_ms = now_ms;
   }
+  stands(picture, now_ms);
 }
 
 void Judge::heard(const std::string& name, const Word& word, std::int64_t now_ms) {
@@ -64,7 +66,8 @@
   if (other) {
     // A later process of that name: it counts from nothing.
     for (auto& [zone, a] : d.asked) a = {};
-    for (const evidence::Seen& s : word.seen) d.asked[s.zone].known = true;
+    for (const evidence::Seen& s : word.seen) d.asked[s.zone].watch.add({}, now_ms - s.age_ms);
+    d.grants.followed();
   }
   d.session = word.session;
   d.serial = word.serial;
@@ -74,9 +77,9 @@
   d.home = word.home;
   d.demand = word.demand;
   if (d.at_ms == 0 && now_ms < took_ms_ + part_span()) {  // as it says, to a new owner
-    d.part = word.part;
-    d.held_ms = took_ms_ + part_span();
+    d.grants.told(word.part_serial, word.part, took_ms_ + part_span());
   }
+  d.grants.holds(word.part_serial, word.part);
   d.at_ms = now_ms;
   for (const evidence::Seen& s : word.seen) {
     if (!zones_.contains(s.zone) && zones_.size() >= kMostZones) continue;
@@ -86,24 +89,16 @@
     a.failing = s.failing;
     a.best = s.best;
     a.best_fills = s.best_fills;
-    const evidence::Tally was = std::exchange(a.last, s.tally);
-    if (!std::exchange(a.known, true)) continue;
-    evidence::Tally t;
-    bool fell = s.tally.fills < was.fills;
-    for (std::size_t k = 0; k < evidence::kKinds; ++k) {
-      fell = fell || s.tally.n[k] < was.n[k];
-      t.n[k] = s.tally.n[k] - was.n[k];
-    }
-    if (fell) continue;
-    t.fills = s.tally.fills - was.fills;
-    const std::uint64_t bad = t.bad();
-    a.alarm.add(t.well(), bad);
-    // What was seen longer ago weighs less, however late it is heard.
     const std::int64_t seen_ms = now_ms - s.age_ms;
-    const double faded = fading(std::max<std::int64_t>(0, seen_ms - a.recent_ms));
-    for (std::size_t k = 0; k < evidence::kKinds; ++k)
-      a.recent[k] = a.recent[k] * faded + static_cast<double>(t.n[k]);
-    a.recent_ms = std::max(a.recent_ms, seen_ms);
+    const bool first = !a.watch.known();
+    const auto came = a.watch.add(s.tally, seen_ms);
+    // A new owner goes on from where the doorman's own watch stands, if it saw that under the share that
+    // stands.
+    const auto felt = word.felt.find(s.zone);
+    if (first && felt != word.felt.end() && word.number >= z.version) a.watch.resume(felt->second, seen_ms);
+    if (!came) continue;
+    const evidence::Tally& t = *came;
+    const std::uint64_t bad = t.bad();
     z.answers += t.well();
     z.fills += t.fills;
     // Of the step that is in force; what was seen before it says nothing about it.
@@ -119,24 +114,12 @@
 
 bool Judge::fresh(const Doorman& d, std::int64_t now_ms) const { return now_ms - d.at_ms <= kFreshMs; }
 
-double Judge::Asked::lately(std::int64_t now_ms) const {
-  double sum = 0;
-  for (const double n : recent) sum += n;
-  return sum * fading(now_ms - recent_ms);
-}
-double Judge::Asked::lately_failed(std::int64_t now_ms) const {
-  double sum = 0;
-  for (std::size_t k = 0; k < evidence::kKinds; ++k)
-    sum += evidence::failed(static_cast<evidence::Kind>(k)) ? recent[k] : 0.0;
-  return sum * fading(now_ms - recent_ms);
-}
-
 // One depot of several that fails is not the zone's matter.
 bool Judge::bad(const Asked& a, bool hosts, std::int64_t now_ms) const {
-  if (!a.alarm.rings()) return false;
+  if (!a.watch.alarm().rings()) return false;
   // What bears another zone's load may be crowded by it: less of it is borne then. Only one that gives next
   // to no answer is left too.
-  if (hosts && a.lately_failed(now_ms) < kHostFailing * a.lately(now_ms)) return false;
+  if (hosts && a.watch.lately_failed(now_ms) < kHostFailing * a.watch.lately(now_ms)) return false;
   if (mistaken(Mistake::kOneDepotIsZone)) return true;
   return 2 * a.failing > a.depots && (a.failing >= 2 || a.depots <= 1);
 }
@@ -149,13 +132,13 @@
     const auto it = d.asked.find(zone);
     if (it == d.asked.end() || !fresh(d, now_ms) || d.weight < kWellEnough) continue;
     const Asked& a = it->second;
-    if (a.lately(now_ms) < kAsks) continue;
+    if (a.watch.lately(now_ms) < kAsks) continue;
     ++asks;
     if (this->bad(a, hosts_.contains(zone), now_ms)) {
       bad += d.weight;
       ++doormen;
-      for (std::size_t k = 0; k < evidence::kKinds; ++k) kinds[k] += a.recent[k];
-    } else if (a.alarm.suspects()) {
+      for (std::size_t k = 0; k < evidence::kKinds; ++k) kinds[k] += a.watch.recent()[k];
+    } else if (a.watch.alarm().suspects()) {
       suspect += d.weight;
     } else {
       well += d.weight;
@@ -230,8 +213,10 @@
   const double s = static_cast<double>(now_ms - rated_ms_) / 1000.0;
   rated_ms_ = now_ms;
   for (auto& [name, z] : zones_) {
-    z.rate += 0.4 * (static_cast<double>(std::exchange(z.answers, 0)) / s - z.rate);
-    z.fill_rate += 0.4 * (static_cast<double>(std::exchange(z.fills, 0)) / s - z.fill_rate);
+    z.rate += kSmooth * (static_cast<double>(std::exchange(z.answers, 0)) / s - z.rate);
+    const double fills = static_cast<double>(std::exchange(z.fills, 0)) / s;
+    z.fill_rate += kSmooth * (fills - z.fill_rate);
+    z.usual_fills += kSmoothLong * (fills - z.usual_fills);
   }
 }
 
@@ -301,8 +286,9 @@
   Zone& z = zones_[e.zone];
   const double d = demand(e.zone, now_ms), s = static_cast<double>(e.share) / kWhole;
   // What is new to the zone is a miss, each time at first; the fills of the steps before go down meanwhile.
+  // They come by chance: room is left for the worst second.
   const bool first = e.phase == Phase::kLeft;
-  const double room = kRoomUsed * bearable_fills(e.zone, now_ms) - z.fill_rate;
+  const double room = mean_below(bearable_fills(e.zone, now_ms)) - std::max(z.fill_rate, z.usual_fills);
   double to = s + room / std::max(d, 0.1);
   to = std::min(to, std::max(kFirstShare, kStepGrows * s));
   if (mistaken(Mistake::kAllAtOnce)) to = 1.0;
@@ -379,7 +365,7 @@
     bool grey = true;
     for (const auto& [name, d] : doormen_) {
       const auto it = d.asked.find(zone);
-      if (it != d.asked.end() && fresh(d, now_ms) && it->second.alarm.down()) grey = false;
+      if (it != d.asked.end() && fresh(d, now_ms) && it->second.watch.alarm().down()) grey = false;
     }
     const std::vector<std::string> region = region_of(zone);
     const auto ill = static_cast<std::size_t>(std::count_if(region.begin(), region.end(), [&](const auto& r) {
@@ -450,8 +436,11 @@
     const bool crowded = z.fill_rate > 1.5 * bearable_fills(e.zone, now_ms);
     if (((all >= kProbesWell && (share_failing > kStepFailing || share_over > 4 * kStepOver)) || crowded) &&
         now_ms >= z.version_ms + terms_.step_ms) {
-      const std::uint32_t half = e.share / 2;
-      if (half <= trickle(e.zone, now_ms) && e.mode != Mode::kReturn) {
+      // What few requests show is no proof that it has failed anew: at the least it goes back to what a zone
+      // that is left is asked. One that is ill with as little as that has not returned.
+      const std::uint32_t least = e.mode == Mode::kReturn ? 0 : trickle(e.zone, now_ms);
+      const std::uint32_t half = std::max(least, e.share / 2);
+      if (e.share <= least) {
         leave(n, e.zone, "its return went ill", false, now_ms, unix_ms);
       } else {
         share(e, half, n.number, now_ms, unix_ms, crowded ? "too many fills" : "the step went ill");
@@ -525,7 +514,7 @@
       Asked& a = it->second;
       a.all = a.bad = a.over = a.fills = a.well = 0;
       a.failed_ms = now_ms;
-      a.alarm.reset();
+      a.watch.calm();
     }
   }
 }
@@ -537,12 +526,11 @@
   Doorman& own = it->second;
   const Entry* e = now.of(own.home);
   if (e == nullptr || e->phase != Phase::kReturning) return std::nullopt;
-  const std::int64_t held = now_ms + part_span();
   double given = 0.0, asked = 0.0;
   for (const auto& [other, d] : doormen_) {
     if (d.home != own.home) continue;
     if (fresh(d, now_ms)) asked += std::max(0.1, d.demand);
-    if (other != name && !mistaken(Mistake::kPartsForgotten)) given += d.out(now_ms);
+    if (other != name && !mistaken(Mistake::kPartsForgotten)) given += d.grants.most(now_ms);
   }
   // A new owner knows the step's share, and the demand by now.
   double& budget = zones_[own.home].budget;
@@ -550,14 +538,8 @@
   double part =
       std::min(budget * std::max(0.1, own.demand) / std::max(0.1, asked), std::max(0.0, budget - given));
   // What the owner before gave out is not known but by what they say themselves.
-  if (now_ms < took_ms_ + part_span()) part = std::min(part, own.out(now_ms));
-  if (own.held_ms > now_ms && part < own.part) {
-    own.smaller = part;
-    own.smaller_ms = held;
-  } else {
-    own.part = part;
-    own.held_ms = held;
-  }
+  if (now_ms < took_ms_ + part_span()) part = std::min(part, own.grants.most(now_ms));
+  own.grants.told(own.serial, part, now_ms + part_span());
   return part;
 }
 
@@ -590,7 +572,7 @@
     if (it == d.asked.end() || !fresh(d, now_ms)) continue;
     ++asks;
     bad += this->bad(it->second, hosts_.contains(zone), now_ms);
-    for (std::size_t k = 0; k < evidence::kKinds; ++k) kinds[k] += it->second.last.n[k];
+    for (std::size_t k = 0; k < evidence::kKinds; ++k) kinds[k] += it->second.watch.last().n[k];
     if (d.weight < kWellEnough && ill.size() < 60) ill += " " + name + " (" + d.ill + ")";
   }
   const auto z = zones_.find(zone);
--- a/src/fleet/zones/judge.hpp
+++ b/src/fleet/zones/judge.hpp
@@ -12,8 +12,9 @@
 #include <string>
 #include <vector>
 
+#include "fleet/zones/grants.hpp"
 #include "fleet/zones/picture.hpp"
-#include "fleet/zones/test.hpp"
+#include "fleet/zones/watch.hpp"
 
 namespace anisewick::zones {
 
@@ -43,8 +44,10 @@
  public:
   explicit Judge(const Terms& terms) : terms_(terms) {}
 
-  // A new owner, with the picture that it found. What the one before gave out is out for part_ms more.
-  void took(const Picture& picture, std::int64_t now_ms);
+  // A new owner, who hears doormen from now on; and the picture that it found once it had fenced the
+  // register. What the one before gave out is out for part_ms more.
+  void took(std::int64_t now_ms);
+  void found(const Picture& picture, std::int64_t now_ms);
   void heard(const std::string& name, const Word& word, std::int64_t now_ms);
   // The picture that ought to follow; nothing: this one stands. `why` of each change is in the entries.
   std::optional<Picture> next(const Picture& now, const Said& said, std::int64_t now_ms,
@@ -69,13 +72,7 @@
 
  private:
   struct Asked {  // what one doorman saw of one zone
-    evidence::Tally last;
-    bool known = false;
-    Alarm alarm;
-    std::array<double, evidence::kKinds> recent{};  // attempts by their end, halved each second
-    std::int64_t recent_ms = 0;
-    double lately(std::int64_t now_ms) const;         // attempts
-    double lately_failed(std::int64_t now_ms) const;  // of these
+    Watch watch;
     std::uint32_t depots = 0, failing = 0;
     double best = 0.0, best_fills = 0.0;
     // Since the zone's share became what it is, and this doorman heeds that; and since its last failure.
@@ -88,16 +85,12 @@
     std::string home, ill;
     double demand = 0.0;
     std::int64_t at_ms = 0;
-    // Its part, and a smaller one given while that may still be used; each is its own until then.
-    double part = 0.0, smaller = 0.0;
-    std::int64_t held_ms = -1'000'000, smaller_ms = -1'000'000;
-    double out(std::int64_t now_ms) const {
-      return held_ms > now_ms ? part : smaller_ms > now_ms ? smaller : 0.0;
-    }
+    Grants grants;
     std::map<std::string, Asked> asked;
   };
   struct Zone {
     double rate = 0.0, fill_rate = 0.0;    // answers and fills a second, smoothed
+    double usual_fills = 0.0;              // likewise over some seconds: a quiet moment is no room
     std::uint64_t answers = 0, fills = 0;  // since `since_ms`
     std::int64_t since_ms = 0;
     std::uint64_t version = 0;  // of its entry
--- a/src/fleet/zones/picture.cpp
+++ b/src/fleet/zones/picture.cpp
@@ -9,6 +9,11 @@
 namespace {
 
 bool is_name(const std::string& s) { return !s.empty() && s.size() <= kMostName; }
+constexpr double kMostFelt = 1e6;
+constexpr std::size_t kMostWord = 1'100;  // bytes, before a further watch is added
+std::uint32_t hundredths(double v) {
+  return static_cast<std::uint32_t>(std::lround(100.0 * std::clamp(v, 0.0, kMostFelt)));
+}
 bool is_rate(double v) { return std::isfinite(v) && v >= 0.0 && v < 1e9; }
 
 wire::ZonesPicture wire_of(const Picture& p) {
@@ -133,6 +138,7 @@
   w.set_home(word.home);
   w.set_demand(static_cast<float>(word.demand));
   w.set_part(static_cast<float>(word.part));
+  if (word.part_serial != 0) w.set_part_serial(word.part_serial);
   for (const evidence::Seen& s : word.seen) {
     auto& out = *w.add_seen();
     out.set_zone(s.zone);
@@ -144,6 +150,14 @@
     out.set_best(static_cast<float>(s.best));
     out.set_best_fills(static_cast<float>(s.best_fills));
     out.set_age_ms(s.age_ms);
+    const auto felt = word.felt.find(s.zone);
+    // Only a new owner needs it: where the datagram would be too long it is left out.
+    if (felt == word.felt.end() || w.ByteSizeLong() > kMostWord) continue;
+    auto& own = *w.add_felt();
+    own.set_seen(static_cast<std::uint32_t>(w.seen_size() - 1));
+    own.set_down(hundredths(felt->second.down));
+    own.set_grey(hundredths(felt->second.grey));
+    for (const double n : felt->second.recent) own.add_recent(hundredths(n));
   }
   return w.SerializeAsString();
 }
@@ -162,6 +176,7 @@
   word.home = w.home();
   word.demand = w.demand();
   word.part = w.part();
+  word.part_serial = w.part_serial();
   for (const auto& in : w.seen()) {
     if (!is_name(in.zone()) || in.ends_size() != static_cast<int>(evidence::kKinds) ||
         !is_rate(in.usual_ms()) || !is_rate(in.best()) || !is_rate(in.best_fills()))
@@ -172,6 +187,15 @@
     s.tally.fills = in.fills();
     word.seen.push_back(std::move(s));
   }
+  for (const auto& in : w.felt()) {
+    if (in.seen() >= word.seen.size() || in.recent_size() != static_cast<int>(evidence::kKinds))
+      return std::nullopt;
+    Felt& felt = word.felt[word.seen[in.seen()].zone];
+    felt.down = in.down() / 100.0;
+    felt.grey = in.grey() / 100.0;
+    for (std::size_t k = 0; k < evidence::kKinds; ++k)
+      felt.recent[k] = in.recent(static_cast<int>(k)) / 100.0;
+  }
   return word;
 }
 
--- a/src/fleet/zones/picture.hpp
+++ b/src/fleet/zones/picture.hpp
@@ -6,7 +6,9 @@
 #ifndef ANISEWICK_FLEET_ZONES_PICTURE_HPP_
 #define ANISEWICK_FLEET_ZONES_PICTURE_HPP_
 
+#include <array>
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -55,6 +57,11 @@
   Mode of(const std::string& zone) const;
 };
 
+// How a doorman's own watch on a zone stands, for an owner who has heard nothing of it yet.
+struct Felt {
+  double down = 0.0, grey = 0.0;                  // sums of its sequential tests
+  std::array<double, evidence::kKinds> recent{};  // attempts by their end, halved each second
+};
 // What a doorman says to the owner.
 struct Word {
   std::uint64_t session = 0, serial = 0;
@@ -64,7 +71,9 @@
   std::string home;
   double demand = 0.0;  // requests a second
   double part = 0.0;
+  std::uint64_t part_serial = 0;  // of its word that the tell answered which gave it
   std::vector<evidence::Seen> seen;
+  std::map<std::string, Felt> felt;  // by zone, of those seen of late
 };
 // What the owner says to a doorman; without a part it may be passed on.
 struct Tell {
--- a/src/fleet/zones/test.cpp
+++ b/src/fleet/zones/test.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <boost/math/distributions/binomial.hpp>
+#include <boost/math/special_functions/gamma.hpp>
 #include <cmath>
 
 namespace anisewick::zones {
@@ -17,6 +18,8 @@
   sum_ = std::min(kMost, sum_ + static_cast<double>(failed) * bad);
 }
 
+void Cusum::resume(double sum) { sum_ = std::clamp(sum, 0.0, kMost); }
+
 double most_failing(std::uint64_t failed, std::uint64_t all) {
   if (all == 0 || failed >= all) return 1.0;
   using boost::math::binomial_distribution;
@@ -24,4 +27,9 @@
                                                         0.05);
 }
 
+double mean_below(double most) {
+  // The chance of no more than k at a mean of x is the upper incomplete gamma function of k + 1 at x.
+  return boost::math::gamma_q_inv(std::floor(std::clamp(most, 0.0, 1e6)) + 1.0, 0.999);
+}
+
 }  // namespace anisewick::zones
--- a/src/fleet/zones/test.hpp
+++ b/src/fleet/zones/test.hpp
@@ -22,6 +22,7 @@
   void add(std::uint64_t well, std::uint64_t failed);
   double sum() const { return sum_; }
   void reset() { sum_ = 0.0; }
+  void resume(double sum);  // from where another stood; no more than it may grow to
 
  private:
   double usual_, bad_, sum_ = 0.0;
@@ -35,6 +36,8 @@
     grey_.add(well, failed);
   }
   double sum() const { return down_.sum() > grey_.sum() ? down_.sum() : grey_.sum(); }
+  double down_sum() const { return down_.sum(); }
+  double grey_sum() const { return grey_.sum(); }
   bool down() const { return down_.sum() >= kRings; }
   bool grey() const { return grey_.sum() >= kRings; }
   bool rings() const { return sum() >= kRings; }
@@ -43,6 +46,10 @@
     down_.reset();
     grey_.reset();
   }
+  void resume(double down, double grey) {
+    down_.resume(down);
+    grey_.resume(grey);
+  }
 
  private:
   Cusum down_{0.02, 0.5}, grey_{0.01, 0.1};
@@ -51,6 +58,10 @@
 // The highest share of failures that is still likely, at 95%, where `failed` of `all` did (Clopper, Pearson).
 double most_failing(std::uint64_t failed, std::uint64_t all);
 
+// The largest mean of what comes by chance (Poisson) of which a second sees more than `most` once in a
+// thousand.
+double mean_below(double most);
+
 }  // namespace anisewick::zones
 
 #endif  // ANISEWICK_FLEET_ZONES_TEST_HPP_
--- a/src/fleet/zones/zones.cpp
+++ b/src/fleet/zones/zones.cpp
@@ -54,7 +54,7 @@
   fenced_ = read_said_ = false;
   asked_.erase(kNowKey);
   told_at_.clear();
-  if (term != 0) judge_.took({}, now_ms);
+  if (term != 0) judge_.took(now_ms);
 }
 
 std::vector<Ask> Zones::next(std::int64_t now_ms, std::int64_t unix_ms) {
@@ -133,8 +133,7 @@
   if (!fenced_) {
     fenced_ = true;
     now_ = *now;
-    judge_.took(now_, now_ms);
-    judge_.stands(now_, now_ms);
+    judge_.found(now_, now_ms);
     stood_ms_ = now_ms;
     return true;
   }
@@ -152,7 +151,10 @@
   return true;
 }
 
-std::optional<std::string> Zones::word_due(std::int64_t now_ms) {
+std::optional<std::string> Zones::word_due(std::uint64_t term, std::int64_t now_ms) {
+  // A new owner knows nothing: what is well shows it where to go as much as what fails.
+  const bool other = std::exchange(said_term_, std::max(said_term_, term)) < term;
+  if (other) last_word_ms_ = next_word_ms_ = -1'000'000;
   if (now_ms < next_word_ms_) return std::nullopt;
   const std::uint64_t number = follower_.number(now_ms);
   Sight sight = sight_(now_ms);
@@ -174,6 +176,8 @@
   w.home = follower_.home();
   w.demand = sight.demand;
   w.part = follower_.part(now_ms);
+  w.part_serial = follower_.part_serial();
+  w.felt = follower_.felt(now_ms);
   w.seen = std::move(sight.seen);
   follower_.said(w.serial, now_ms);
   return encode(w);
--- a/src/fleet/zones/zones.hpp
+++ b/src/fleet/zones/zones.hpp
@@ -51,8 +51,8 @@
   // False: a higher term stands there.
   bool settled(const agreement::Proposer::Result& result, std::int64_t now_ms, std::uint64_t& higher);
 
-  // The word to the owner that is due now.
-  std::optional<std::string> word_due(std::int64_t now_ms);
+  // The word to the owner that is due now; `term`: of the owner, who is told at once when it is another.
+  std::optional<std::string> word_due(std::uint64_t term, std::int64_t now_ms);
   void heard(const std::string& name, const std::string& word, std::int64_t now_ms);
   // What is told by the owner, to a doorman by name, or passed on by anyone (empty name).
   std::string tell(const std::string& to, std::int64_t now_ms);
@@ -90,7 +90,7 @@
   Said said_;
   std::int64_t said_ms_ = -1'000'000, stood_ms_ = -1'000'000, next_word_ms_ = 0, told_ms_ = -1'000'000;
   std::map<std::string, std::int64_t> told_at_;  // by doorman
-  std::uint64_t serial_ = 0, said_number_ = 0;
+  std::uint64_t serial_ = 0, said_number_ = 0, said_term_ = 0;
   std::int64_t last_word_ms_ = -1'000'000;
   std::map<std::string, std::uint64_t> asked_;  // keys
   std::deque<Wish> wishes_;
--- a/src/standin/zonal.cpp
+++ b/src/standin/zonal.cpp
@@ -48,7 +48,7 @@
     list_.push_back(origin);
     for (std::size_t i = 0; i < o.members; ++i) {
       auto& d = doormen_.emplace_back();
-      d.zone = i % o.zones;
+      d.zone = zone_of(i);
       d.draw.seed(o.seed * 1'000'003 + i);
       begin(d, i);
     }
@@ -60,7 +60,7 @@
     e.loss = o.loss;
     e.lease_ms = 1'000;
     e.zones = true;
-    e.home = [this](std::size_t i) { return zone_name(i % o_.zones); };
+    e.home = [this](std::size_t i) { return zone_name(zone_of(i)); };
     for (std::size_t z = 0; z < o.zones; ++z) e.zone_terms.bears[zone_name(z)] = {0.0, bearable()};
     e.zone_terms.keep_ms = 10'000;
     e.started = [this](std::size_t i, member::Member& m) {
@@ -131,6 +131,8 @@
     bool operator<(const Due& o) const { return std::pair(ms, order) > std::pair(o.ms, o.order); }
   };
 
+  // Who owns a duty goes by the names: by the seed it is a doorman of another zone.
+  std::size_t zone_of(std::size_t i) const { return (i + o_.seed) % o_.zones; }
   Time at() const { return (kUnixAhead + now_) * kMs; }
   static double unit(std::mt19937_64& r) { return static_cast<double>(r() >> 11) * 0x1.0p-53; }
   double bearable() const {
@@ -208,6 +210,7 @@
     h.sent_ms = now_;
     h.until_ms = std::max(now_ + 1, (step.until / kMs) - kUnixAhead);
     const std::uint64_t attempt = h.attempt = ++attempts_;
+    if (step.depot == kOrigin && d.zone == 0) ++to_origin_;
     if (step.depot == kOrigin) return due(now_ + 40, i, id, attempt, End::kServed, kRemarkFilled);
     const std::size_t n = step.depot - kFirst;
     Depot& depot = depots_[n];
@@ -366,7 +369,13 @@
         return;
       case Day::kSlow:
         if (begins) zone_depots(0, [&](std::size_t n) { depots_[n].slow = 60; });
-        if (ends) zone_depots(0, [&](std::size_t n) { depots_[n].slow = 1; });
+        // What waits there is done as quickly as ever from then on.
+        if (ends) {
+          zone_depots(0, [&](std::size_t n) {
+            const std::int64_t waits = std::max<std::int64_t>(0, depots_[n].busy_until - now_);
+            depots_[n].busy_until = now_ + waits / std::exchange(depots_[n].slow, 1);
+          });
+        }
         return;
       case Day::kGrey:
         if (begins) zone_depots(0, [&](std::size_t n) { depots_[n].lose = 10; });
@@ -395,7 +404,7 @@
       case Day::kHalf:
         zone_depots(0, [&](std::size_t n) {
           for (std::size_t i = 0; i < o_.members; ++i) {
-            if (begins && i % o_.zones == 0 && i / o_.zones % 2 == 0) depots_[n].cut.insert(i);
+            if (begins && zone_of(i) == 0 && i / o_.zones % 2 == 0) depots_[n].cut.insert(i);
           }
           if (ends) depots_[n].cut.clear();
         });
@@ -409,6 +418,8 @@
     ZonalResult::Second s;
     s.good = now_asked_ == 0 ? 1.0 : static_cast<double>(now_good_) / static_cast<double>(now_asked_);
     s.fills = static_cast<double>(zone_fills_);
+    s.asked = static_cast<double>(zone_asked_);
+    s.origin = static_cast<double>(std::exchange(to_origin_, 0));
     double share = 0;
     std::size_t n = 0, left = 0;
     for (const Doorman& d : doormen_) {
@@ -500,7 +511,8 @@
   std::priority_queue<Due> due_;
   std::uint64_t ids_ = 0, attempts_ = 0, order_ = 0, good_ = 0;
   Counted before_, out_, after_, hits_before_, hits_after_;
-  std::uint64_t now_asked_ = 0, now_good_ = 0, zone_fills_ = 0, zone_asked_ = 0, home_all_ = 0, home_own_ = 0;
+  std::uint64_t now_asked_ = 0, now_good_ = 0, zone_fills_ = 0, zone_asked_ = 0, to_origin_ = 0,
+                home_all_ = 0, home_own_ = 0;
   double last_share_ = 1.0;
   std::set<std::string> was_gone_;
   bool in_steps_ = false, was_in_steps_ = false;  // the fleet has left the zone, for two seconds at least
@@ -542,7 +554,8 @@
   zones::Picture picture;
   zones::Said said;
   said.leave.insert("a");
-  judge.took(picture, 0);
+  judge.took(0);
+  judge.found(picture, 0);
   std::deque<std::pair<std::int64_t, double>> budgets;
   for (std::int64_t now = 5'000; now < 60'000; now += 10) {
     if (now == 9'000) said = {2, {}, {"a"}};
@@ -563,6 +576,7 @@
       w.home = "a";
       w.demand = d.demand;
       w.part = followers[i].part(own);
+      w.part_serial = followers[i].part_serial();
       d.well += 3;
       evidence::Seen seen;
       seen.zone = "a";
--- a/src/standin/zonal.hpp
+++ b/src/standin/zonal.hpp
@@ -60,6 +60,7 @@
   bool sound() const { return old_applied + over_share + to_drained == 0; }
   struct Second {
     double good = 0, share = 1, fills = 0;
+    double asked = 0, origin = 0;  // attempts at the zone's depots; at the origin, by its doormen
   };
   std::vector<Second> course;
 };
--- a/tests/zones_test.cpp
+++ b/tests/zones_test.cpp
@@ -134,6 +134,119 @@
   }
 }
 
+TEST_CASE("A mean is held so low that a second sees more than is bearable once in a thousand") {
+  for (const double most : {4.0, 12.0, 100.0}) {
+    const double mean = zones::mean_below(most);
+    double p = std::exp(-mean), sum = p;
+    for (int k = 1; k <= static_cast<int>(most); ++k) sum += p *= mean / k;
+    CHECK(1.0 - sum == Approx(0.001).epsilon(0.01));
+  }
+  CHECK(zones::mean_below(100.0) > 0.7 * 100.0);  // the more is borne, the less is left unused
+  CHECK(zones::mean_below(4.0) < 0.4 * 4.0);
+}
+
+TEST_CASE(
+    "What a doorman may use is never more than is counted, in whatever order it hears; a cut counts at "
+    "once") {
+  for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+    INFO("seed " << seed);
+    std::mt19937_64 random(seed);
+    const zones::Terms terms;
+    zones::Follower follower(terms, "n1", "a");
+    zones::Grants grants;
+    std::multimap<std::int64_t, zones::Tell> tells;
+    std::multimap<std::int64_t, std::pair<std::uint64_t, std::pair<std::uint64_t, double>>> words;
+    std::uint64_t serial = 0, heard = 0;
+    double least_since = 0.0;
+    for (std::int64_t now = 10; now < 20'000; now += 10) {
+      if (random() % 8 == 0) {  // it says what it holds
+        follower.said(++serial, now);
+        words.emplace(now + static_cast<std::int64_t>(random() % 60),
+                      std::pair(serial, std::pair(follower.part_serial(), follower.part(now))));
+      }
+      for (; !words.empty() && words.begin()->first <= now; words.erase(words.begin())) {
+        const auto& [number, holds] = words.begin()->second;
+        if (number <= heard || random() % 4 == 0) continue;
+        heard = number;
+        grants.holds(holds.first, holds.second);
+      }
+      if (heard > 0 && random() % 6 == 0) {
+        zones::Tell t;
+        t.part = static_cast<double>(random() % 40);
+        t.serial = heard;
+        grants.told(heard, *t.part,
+                    now + terms.part_ms + 2 * terms.part_ms * terms.drift_ppm / 1'000'000 + 1);
+        if (random() % 4 != 0) tells.emplace(now + static_cast<std::int64_t>(random() % 400), t);
+      }
+      for (; !tells.empty() && tells.begin()->first <= now; tells.erase(tells.begin()))
+        follower.told(tells.begin()->second, true, now);
+      REQUIRE(follower.part(now) <= grants.most(now));
+      least_since = std::max(least_since, grants.most(now));
+    }
+    CHECK(least_since > 20.0);
+  }
+  zones::Grants grants;
+  grants.told(5, 10.0, 3'000);
+  grants.told(6, 4.0, 3'200);
+  CHECK(grants.most(100) == 10.0);
+  grants.holds(6, 4.0);  // what answers an earlier word is never heeded after that
+  CHECK(grants.most(100) == 4.0);
+  grants.followed();  // another process: the one before may still use it
+  grants.told(1, 1.0, 3'400);
+  grants.holds(1, 1.0);
+  CHECK(grants.most(100) == 4.0);
+  CHECK(grants.most(3'300) == 1.0);
+}
+
+TEST_CASE(
+    "A new owner goes on from what the doormen saw themselves, and is told by those who see nothing wrong") {
+  // Three doormen a zone: those of `a` saw it fail before this owner came, the others see that theirs is
+  // well.
+  const auto word = [](const std::string& home, bool felt) {
+    zones::Word w;
+    w.session = w.serial = 1;
+    w.home = home;
+    w.demand = 10.0;
+    evidence::Seen s;
+    s.zone = home;
+    s.depots = 4;
+    s.failing = home == "a" ? 4 : 0;
+    s.tally.n = {100, 0, 0, home == "a" ? 6u : 0u, 0, 0};
+    w.seen = {s};
+    if (felt)
+      w.felt[home] = home == "a" ? zones::Felt{12.0, 9.0, {0, 0, 0, 3, 0, 0}} : zones::Felt{0, 0, {8.0}};
+    const auto back = zones::word_from(zones::encode(w));
+    REQUIRE(back);
+    return *back;
+  };
+  for (const bool felt : {true, false}) {
+    zones::Judge judge{zones::Terms{}};
+    judge.took(10'000);
+    for (int i = 0; i < 6; ++i)
+      judge.heard("n" + std::to_string(i), word(i % 2 == 0 ? "a" : "b", felt), 10'010);
+    judge.found({}, 10'020);
+    const auto next = judge.next({}, {}, 10'030, 0);
+    CHECK(next.has_value() == felt);
+    if (next) CHECK(next->of("a")->phase == zones::Phase::kLeft);
+    if (next) CHECK(next->of("b") == nullptr);
+  }
+}
+
+TEST_CASE("A step that goes ill is taken back, and is no relapse; fills stay below what is bearable") {
+  for (const auto& [day, seed] : {std::pair(standin::Day::kSilent, 26), {standin::Day::kRefuse, 21}}) {
+    standin::ZonalOptions o;
+    o.day = day;
+    o.seed = static_cast<std::uint64_t>(seed);
+    o.lasts_ms = seed % 2 == 0 ? 8'000 : 20'000;
+    o.after_ms = 20'000;
+    const auto r = standin::zonal(o);
+    INFO(standin::word(day) << ", seed " << seed << ", peak " << r.peak_fills);
+    CHECK(r.relapses == 0);
+    CHECK(r.peak_fills <= 1.0);
+    CHECK(r.leave_ms > 0);
+  }
+}
+
 TEST_CASE(
     "Shares over a list: the home's and the guests' make up the whole, cold and drained ones are no guests") {
   std::vector<bus::Depot> list;
