--- a/tests/cachebox_test.cpp
+++ b/tests/cachebox_test.cpp
@@ -1,6 +1,5 @@
 // A cache box between an origin, an event bus and those who ask, on real sockets and real files: one case a
 // rule, one a failure.
-#define CATCH_CONFIG_MAIN
 #include <catch2/catch.hpp>
 #include <set>
 
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -1,5 +1,4 @@
 // Tables of cases for everything that reads bytes.
-#define CATCH_CONFIG_MAIN
 #include <catch2/catch.hpp>
 
 #include "bus/bus.hpp"
--- a/tests/daily_process_test.cpp
+++ b/tests/daily_process_test.cpp
@@ -1,5 +1,4 @@
 // The program as the staff run it: the door, depots taken out, drains, upgrades; one case a rule.
-#define CATCH_CONFIG_MAIN
 #include <atomic>
 #include <catch2/catch.hpp>
 #include <cstdlib>
--- a/tests/daily_test.cpp
+++ b/tests/daily_test.cpp
@@ -1,5 +1,4 @@
 // The decisions of daily running: holds over the bus's list, the life cycle, the operators' calls.
-#define CATCH_CONFIG_MAIN
 #include <signal.h>
 #include <sys/wait.h>
 #include <unistd.h>
--- a/tests/decisions_test.cpp
+++ b/tests/decisions_test.cpp
@@ -1,6 +1,5 @@
 // The cache box's decisions, each driven by a table of times and events or by generated ones beside a plain
 // model.
-#define CATCH_CONFIG_MAIN
 #include <rapidcheck.h>
 
 #include <catch2/catch.hpp>
--- a/tests/depot_process_test.cpp
+++ b/tests/depot_process_test.cpp
@@ -1,6 +1,5 @@
 // The real anisewick_depot as a process, with real files: killed while it writes, told to end, given bad
 // settings; and the real anisewick before two such boxes, a parent and an origin.
-#define CATCH_CONFIG_MAIN
 #include <catch2/catch.hpp>
 #include <fstream>
 #include <map>
--- a/tests/disk_test.cpp
+++ b/tests/disk_test.cpp
@@ -1,5 +1,4 @@
 // The disk tier against a plain model, damage, power cuts and failing disks; nothing here waits for time.
-#define CATCH_CONFIG_MAIN
 #include <rapidcheck.h>
 
 #include <catch2/catch.hpp>
--- a/tests/doorman_test.cpp
+++ b/tests/doorman_test.cpp
@@ -1,5 +1,4 @@
 // The program against scripted peers on real sockets: one test a rule, and one for each failure found.
-#define CATCH_CONFIG_MAIN
 #include <sys/resource.h>
 
 #include <catch2/catch.hpp>
--- a/tests/facade_test.cpp
+++ b/tests/facade_test.cpp
@@ -1,5 +1,4 @@
 // The facade: what a report leads to, in plain values.
-#define CATCH_CONFIG_MAIN
 #include "facade/facade.hpp"
 
 #include <algorithm>
--- a/tests/fleet_mistakes_test.cpp
+++ b/tests/fleet_mistakes_test.cpp
@@ -1,5 +1,4 @@
 // Mistakes seeded in a build of their own: the explorer or the simulation finds each, and none without one.
-#define CATCH_CONFIG_MAIN
 #include <catch2/catch.hpp>
 #include <iostream>
 
--- a/tests/fleet_parts_test.cpp
+++ b/tests/fleet_parts_test.cpp
@@ -1,5 +1,4 @@
 // The fleet's settings, state file, messages and gate: tables, damage, and bytes of nobody's making.
-#define CATCH_CONFIG_MAIN
 #include <catch2/catch.hpp>
 #include <random>
 
--- a/tests/fleet_process_test.cpp
+++ b/tests/fleet_process_test.cpp
@@ -1,5 +1,4 @@
 // Several processes of anisewick_fleet with faults between them: killed, stopped and woken late, cut off.
-#define CATCH_CONFIG_MAIN
 #include <catch2/catch.hpp>
 
 #include "fleet.hpp"
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -1,6 +1,5 @@
 // The membership in simulated time: instances, messages with delay and loss, crashes, partitions. Seeds are
 // fixed.
-#define CATCH_CONFIG_MAIN
 #include <catch2/catch.hpp>
 #include <functional>
 #include <memory>
--- a/tests/peers_test.cpp
+++ b/tests/peers_test.cpp
@@ -1,5 +1,4 @@
 // Sealed messages: what is let through, and why the rest is not.
-#define CATCH_CONFIG_MAIN
 #include <catch2/catch.hpp>
 #include <random>
 
--- a/tests/work_process_test.cpp
+++ b/tests/work_process_test.cpp
@@ -1,5 +1,4 @@
 // Machines out for work, with several processes of anisewick_fleet, a dozen depots, load, and faults between.
-#define CATCH_CONFIG_MAIN
 #include <catch2/catch.hpp>
 
 #include "crews.hpp"
--- a/tests/work_test.cpp
+++ b/tests/work_test.cpp
@@ -1,5 +1,4 @@
 // The plan of machines out for work: against every division of small jobs, and its bounds on large ones.
-#define CATCH_CONFIG_MAIN
 #include <catch2/catch.hpp>
 #include <chrono>
 #include <map>
--- a/tests/zones_process_test.cpp
+++ b/tests/zones_process_test.cpp
@@ -1,6 +1,5 @@
 // Zones that fail under several processes of anisewick_fleet: left as a fleet, returned to in steps, with
 // faults between the doormen meanwhile. Every request is accounted for.
-#define CATCH_CONFIG_MAIN
 #include <catch2/catch.hpp>
 
 #include "zoned.hpp"
