--- a/tests/seeds.hpp
+++ b/tests/seeds.hpp
@@ -1,5 +1,5 @@
-// How many seeds a test plays: all of them in builds that are quick, some under the sanitizers, which watch the same
-// code beside a build of it that plays all.
+// How many seeds a test plays: all of them in builds that are quick, some under the sanitizers, which watch
+// the same code beside a build of it that plays all.
 #ifndef ANISEWICK_TESTS_SEEDS_HPP_
 #define ANISEWICK_TESTS_SEEDS_HPP_
 
