Let a purge, late evidence, a second zone and flapping fall into zones between processes

Need: named hard cases of a failing zone that no process had met. Six processes each: a purge of half of all objects and a doorman's restart during a return (no request a second after would take an older copy), what is seen told 2 s late under loss and with clocks apart (a seam in the fleet's faults), a second zone that resets while the first returns, one that goes and comes each 3 s (left at most twice in 12 s).

--- a/src/fleet/evidence/evidence.cpp
+++ b/src/fleet/evidence/evidence.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace anisewick::evidence {
 namespace {
@@ -136,4 +137,13 @@
   return it == zones_.end() ? kNone : it->second.tally;
 }
 
+std::vector<Seen> Late::seen(std::vector<Seen> now, std::int64_t now_ms, std::int64_t late_ms) {
+  all_.emplace_back(now_ms, std::move(now));
+  while (all_.size() > kMost || (all_.size() > 1 && all_[1].first <= now_ms - late_ms)) all_.pop_front();
+  if (all_.front().first > now_ms - late_ms) return {};
+  std::vector<Seen> out = all_.front().second;
+  for (Seen& s : out) s.age_ms += static_cast<std::uint32_t>(now_ms - all_.front().first);
+  return out;
+}
+
 }  // namespace anisewick::evidence
--- a/src/fleet/evidence/evidence.hpp
+++ b/src/fleet/evidence/evidence.hpp
@@ -7,9 +7,11 @@
 #include <array>
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "depot/depot.hpp"
@@ -92,6 +94,16 @@
   std::unordered_map<std::uint64_t, Open> open_;
 };
 
+// For faults: what was seen is told so much later, with the age that it has by then.
+class Late {
+ public:
+  std::vector<Seen> seen(std::vector<Seen> now, std::int64_t now_ms, std::int64_t late_ms);
+
+ private:
+  static constexpr std::size_t kMost = 256;
+  std::deque<std::pair<std::int64_t, std::vector<Seen>>> all_;
+};
+
 }  // namespace anisewick::evidence
 
 #endif  // ANISEWICK_FLEET_EVIDENCE_EVIDENCE_HPP_
--- a/src/fleet/part/part.cpp
+++ b/src/fleet/part/part.cpp
@@ -304,7 +304,8 @@
 // What this doorman saw, and why it is to weigh less where it is ill itself.
 zones::Sight Part::sight(std::int64_t at) {
   zones::Sight s;
-  s.seen = evidence_.seen(at);
+  s.seen = settings_.evidence_late_ms == 0 ? evidence_.seen(at)
+                                           : late_.seen(evidence_.seen(at), at, settings_.evidence_late_ms);
   s.demand = demand_ * std::exp(-static_cast<double>(at - demand_ms_) / kDemandMs) / (kDemandMs / 1000.0);
   const auto ill = [&](std::uint32_t weight, const char* why) {
     if (weight >= s.weight) return;
--- a/src/fleet/part/part.hpp
+++ b/src/fleet/part/part.hpp
@@ -73,6 +73,7 @@
   double late_ms_ = 0.0;  // the latest tick
   evidence::Ills ills_;
   evidence::Evidence evidence_;
+  evidence::Late late_;
   zones::Toll toll_;
   zones::Shares shares_;
   std::int64_t laid_ms_ = -1'000'000, demand_ms_ = 0, late_at_ms_ = -1'000'000;
--- a/src/fleet/part/settings.cpp
+++ b/src/fleet/part/settings.cpp
@@ -296,6 +296,7 @@
     s_.clock_ahead_ms = f_.faults().clock_ahead_ms();
     s_.clock_rate = 1.0 + static_cast<double>(f_.faults().clock_rate_ppm()) / 1e6;
     s_.member.careless = f_.faults().careless();
+    s_.evidence_late_ms = f_.faults().evidence_late_ms();
   }
 
   Reader& reader_;
--- a/src/fleet/part/settings.hpp
+++ b/src/fleet/part/settings.hpp
@@ -26,6 +26,7 @@
   std::string config, relay, door;  // of the doorman; empty: by the environment
   std::int64_t clock_ahead_ms = 0;
   double clock_rate = 1.0;
+  std::int64_t evidence_late_ms = 0;
   logs::Level log_level = logs::Level::kInfo;
 };
 
--- a/src/standin/zonal.cpp
+++ b/src/standin/zonal.cpp
@@ -108,6 +108,7 @@
     std::unique_ptr<Facade> facade;
     holds::Holds holds;
     evidence::Evidence evidence;
+    evidence::Late late;
     std::map<std::uint64_t, Held> open;
     double demand = 0.0;
     std::int64_t demand_ms = 0;
@@ -278,7 +279,7 @@
   zones::Sight sight(std::size_t i) {
     Doorman& d = doormen_[i];
     zones::Sight s;
-    s.seen = d.evidence.seen(now_);
+    s.seen = o_.day == Day::kLate ? d.late.seen(d.evidence.seen(now_), now_, 2'000) : d.evidence.seen(now_);
     s.demand = d.demand * std::exp(-static_cast<double>(now_ - d.demand_ms) / 2'000.0) / 2.0;
     return s;
   }
@@ -350,8 +351,14 @@
       case Day::kSilent:
       case Day::kOwner:
       case Day::kTwo:
+      case Day::kLate:
+      case Day::kPurge:
         if (begins) zone_depots(0, [&](std::size_t n) { depots_[n].silent = true; });
         if (ends) restart(0);
+        if (o_.day == Day::kPurge && once(o_.lasts_ms + 6'000)) {
+          for (Depot& d : depots_)
+            std::erase_if(d.held, [](std::uint64_t object) { return object % 2 == 0; });
+        }
         if (o_.day == Day::kTwo && once(o_.lasts_ms + 2'000))
           zone_depots(1, [&](std::size_t n) { depots_[n].silent = true; });
         if (o_.day == Day::kTwo && once(2 * o_.lasts_ms)) restart(1);
@@ -526,8 +533,8 @@
 }  // namespace
 
 const char* word(Day day) {
-  static const char* const kWords[] = {"calm", "silent", "refuse", "slow", "grey", "two",
-                                       "flap", "all",    "depot",  "liar", "half", "owner"};
+  static const char* const kWords[] = {"calm", "silent", "refuse", "slow", "grey",  "two",  "flap",
+                                       "all",  "depot",  "liar",   "half", "owner", "late", "purge"};
   return kWords[static_cast<std::size_t>(day)];
 }
 
--- a/src/standin/zonal.hpp
+++ b/src/standin/zonal.hpp
@@ -23,11 +23,13 @@
   kDepot,   // one depot of a zone
   kLiar,    // to one doorman nothing seems to answer
   kHalf,    // half of a zone's doormen do not reach it
-  kOwner    // silent, and the owner of the duty is killed as it begins, and again as the zone returns
+  kOwner,   // silent, and the owner of the duty is killed as it begins, and again as the zone returns
+  kLate,    // silent, and what the doormen saw is told two seconds late
+  kPurge    // silent, and a purge of half of all objects falls into the return
 };
-constexpr std::size_t kDays = 12;
+constexpr std::size_t kDays = 14;
 const char* word(Day day);
-constexpr bool to_leave(Day d) { return (d >= Day::kSilent && d <= Day::kTwo) || d == Day::kOwner; }
+constexpr bool to_leave(Day d) { return (d >= Day::kSilent && d <= Day::kTwo) || d >= Day::kOwner; }
 
 struct ZonalOptions {
   Day day = Day::kSilent;
--- a/tests/fleet.hpp
+++ b/tests/fleet.hpp
@@ -24,6 +24,7 @@
   bool work = false;      // with the duty of machines out for work
   int zones = 1;          // the doormen stand in so many, in turns
   bool alone = false;     // the same doormen, each built without the fleet
+  int evidence_late_ms = 0;
 };
 
 class Doormen {
@@ -65,7 +66,7 @@
         << "door: " << own(static_cast<std::uint16_t>(members_[i].door))
         << "}\nfaults { clock_ahead_ms: " << at(options_.ahead_ms)
         << " clock_rate_ppm: " << at(options_.rate_ppm) << " careless: " << (careless ? "true" : "false")
-        << " }\n"
+        << " evidence_late_ms: " << options_.evidence_late_ms << " }\n"
         << options_.more;
     if (options_.work) {
       out << "duties { name: \"work\" }\nwork { file: \"" << work_file(i)
--- a/tests/yard.hpp
+++ b/tests/yard.hpp
@@ -100,7 +100,21 @@
   }
   void tell(std::size_t i, int state, std::int64_t born_ms) {
     const std::lock_guard hold(mutex_);
-    events_.push_back(record(i, born_ms, state).record());
+    events_.push_back(std::string(1, 2) + record(i, born_ms, state).record());
+  }
+  // A purge of every second object, which its group says: those whose ids are odd. No copy is left anywhere,
+  // and from a second on whoever asks for one says how old it may be at the most.
+  void purge_odd(int group) {
+    const std::lock_guard hold(mutex_);
+    purged_ms_ = now_ms();
+    events_.push_back(std::string(1, 4) + big_endian(static_cast<std::uint64_t>(group), 2) +
+                      big_endian(static_cast<std::uint64_t>(purged_ms_), 8));
+    for (One& d : depots_) std::erase_if(d.held_things, [](const std::string& thing) { return odd(thing); });
+  }
+  // Requests for a purged object since a second after, and those of them that would take an older copy.
+  std::pair<int, int> purged() {
+    const std::lock_guard hold(mutex_);
+    return {asked_purged_, would_take_old_};
   }
   // What a new process has to fill takes so long each, one after another.
   void fills_take(int ms) {
@@ -165,6 +179,23 @@
     if (d.held) return;
     for (auto& [s, id] : std::exchange(d.waiting, {})) say(*s, id, cold(d));
   }
+  static bool odd(const std::string& thing) {
+    return !thing.empty() && std::string("13579bdf").find(thing.back()) != std::string::npos;
+  }
+  static std::string word_of(const std::string& fields, const std::string& name) {
+    const std::size_t at = fields.find(name + "=");
+    if (at == std::string::npos) return {};
+    const std::size_t from = at + name.size() + 1;
+    return fields.substr(from, fields.find(',', from) - from);
+  }
+  // Until the purge has settled, after which nobody needs to say so any more.
+  void look_at_purge(const std::string& fields) {
+    const std::int64_t since = now_ms() - purged_ms_;
+    if (purged_ms_ == 0 || since < 1'000 || since > 5'000 || !odd(word_of(fields, "thing"))) return;
+    const std::string oldest = word_of(fields, "oldest");
+    ++asked_purged_;
+    would_take_old_ += oldest.empty() || std::stoll(oldest) > since;
+  }
   static bool cold(One& d) { return d.cold > 0 && d.cold-- > 0; }
   static void say(Stream& s, const std::string& id, bool fill) {
     try {
@@ -179,7 +210,7 @@
         const std::lock_guard hold(mutex_);
         for (auto& [s, told] : doormen_) {
           for (; told < events_.size(); ++told) {
-            const std::string content = big_endian(100 + told, 8) + std::string(1, 2) + events_[told];
+            const std::string content = big_endian(100 + told, 8) + events_[told];
             try {
               s.write(big_endian(content.size(), 4) + content);
             } catch (const std::exception&) {
@@ -232,6 +263,7 @@
         if (verb != "fetch") continue;
         s.take(length + 2);
         ++d.asked;
+        look_at_purge(fields);
         if (d.out) ++sent_to_out_;
         if (d.fault.resets) return false;
         if (d.fault.silent || (d.fault.lose_each > 0 && d.asked % d.fault.lose_each == 0) ||
@@ -244,8 +276,7 @@
         }
         bool fill = cold(d);
         if (keeps_) {
-          const std::size_t at = fields.find("thing=");
-          fill = d.held_things.insert(fields.substr(at, fields.find(',', at) - at)).second;
+          fill = d.held_things.insert(word_of(fields, "thing")).second;
         }
         d.fills += fill;
         if (d.fault.slow_ms > 0) {
@@ -268,7 +299,8 @@
   std::vector<One> depots_;
   std::vector<std::string> events_;
   std::list<std::pair<Stream, std::size_t>> doormen_;
-  int sent_to_out_ = 0, fill_ms_ = 0;
+  std::int64_t purged_ms_ = 0;  // 0: never
+  int sent_to_out_ = 0, fill_ms_ = 0, asked_purged_ = 0, would_take_old_ = 0;
   const std::size_t n_, zones_;
   bool keeps_ = false;
   std::function<int(const std::string&)> doorman_of_;
--- a/tests/zoned.hpp
+++ b/tests/zoned.hpp
@@ -137,6 +137,7 @@
         std::count_if(all.begin(), all.end(), [](const End& e) { return e.broken; }));
   }
 
+  static constexpr int kOddGroup = 18;  // of the objects with odd ids
   const ZonedOptions options;
   Doormen d;
   Yard yard;
@@ -173,8 +174,9 @@
       Ask ask = numbered(kEach * (i + 1) + ++n);
       // A few objects take most of the requests.
       const double u = std::uniform_real_distribution<>()(random);
-      ask.object =
-          hex16(0xabc000u + static_cast<std::uint64_t>(u * u * static_cast<double>(options.objects)));
+      const auto object = static_cast<std::uint64_t>(u * u * static_cast<double>(options.objects));
+      ask.object = hex16(0xabc000u + object);
+      ask.group = object % 2 == 0 ? 17 : kOddGroup;
       ask.patience_ms = 2'000;
       ask.size = "40";
       End e;
