Let what is seen of a zone add up from step to step of its return

Seen: a zone that loses one answer in ten (grey) was left after 6 s, returned to while it still lost them and left again after it was well. Cause: Judge::stands began each doorman's test anew at every step, and a step asks 14 to 30 attempts where the test needs 64.

--- a/bench/zones.cpp
+++ b/bench/zones.cpp
@@ -63,19 +63,21 @@
     j.options.zones = zones;
     j.options.depots_each = depots;
     j.options.lasts_ms = s % 2 == 0 ? 8'000 : 20'000;
+    j.options.after_ms = standin::to_leave(day) ? 45'000 : 20'000;
     j.options.loss = s % 3 == 0 ? 0.2 : 0.0;
     if (day == standin::Day::kGrey) j.options.lasts_ms = 25'000;
     jobs.push_back(j);
   };
   std::size_t most = 0;
   if (!quick) {
-    for (const auto day : {standin::Day::kSilent, standin::Day::kAll})
-      add(day, 300, 12, 16, seed * 1'000 + 900);
+    for (const auto day : {standin::Day::kSilent, standin::Day::kRefuse, standin::Day::kTwo,
+                           standin::Day::kOwner, standin::Day::kAll, standin::Day::kLiar})
+      add(day, 300, 12, 16, seed * 100'000 + 90'000);
     most = 300;
   }
   for (std::size_t d = 0; d < standin::kDays; ++d) {
-    for (std::uint64_t k = 0; k < (quick ? 2u : 30u); ++k) {
-      add(static_cast<standin::Day>(d), k % 3 == 2 ? 12 : 6, k % 3 == 2 ? 4 : 3, 4, seed * 1'000 + k);
+    for (std::uint64_t k = 0; k < (quick ? 2u : 80u); ++k) {
+      add(static_cast<standin::Day>(d), k % 3 == 2 ? 12 : 6, k % 3 == 2 ? 4 : 3, 4, seed * 100'000 + k);
       most = std::max(most, jobs.back().options.members);
     }
   }
@@ -85,7 +87,7 @@
     jobs[i].alone = standin::zonal(jobs[i].options);
   });
 
-  std::vector<double> leave, disagree, gains, back, alone_back, kept;
+  std::vector<double> leave, owner_leave, late_leave, alone_leave, disagree, gains, back, alone_back, kept;
   double peak = 0, alone_peak = 0, worst = 1;
   std::uint64_t relapses = 0, alone_relapses = 0, false_leaves = 0, missed = 0, old = 0, unsound = 0;
   std::map<standin::Day, std::vector<const Job*>> by_day;
@@ -102,7 +104,15 @@
     if (j.options.day != standin::Day::kOwner) disagree.push_back(j.fleet.disagree_ms);
     kept.push_back(j.fleet.hits_kept);
     if (!standin::to_leave(j.options.day)) continue;
-    if (j.fleet.leave_ms >= 0 && j.options.day != standin::Day::kGrey) leave.push_back(j.fleet.leave_ms);
+    // What the test needs for one in ten lost, a takeover, and two seconds until the evidence is told are
+    // told apart.
+    if (j.fleet.leave_ms >= 0 && j.options.day != standin::Day::kGrey) {
+      (j.options.day == standin::Day::kOwner  ? owner_leave
+       : j.options.day == standin::Day::kLate ? late_leave
+                                              : leave)
+          .push_back(j.fleet.leave_ms);
+    }
+    if (j.alone.leave_ms >= 0) alone_leave.push_back(j.alone.leave_ms);
     gains.push_back(j.fleet.good_out - j.alone.good_out);
     if (j.fleet.return_s >= 0) back.push_back(j.fleet.return_s);
     if (j.alone.return_s >= 0) alone_back.push_back(j.alone.return_s);
@@ -153,9 +163,15 @@
     }
   }
 
+  std::uint64_t over = 0, returned = 0;
+  for (const Job& j : jobs) {
+    if (!standin::to_leave(j.options.day)) continue;
+    ++returned;
+    over += j.fleet.peak_fills > 1.0;
+  }
   std::vector<double> process_leave, none, good, alone_good, quiet, alone_quiet;
   try {
-    for (std::uint64_t k = 0; k < (quick ? 1u : 6u); ++k) {
+    for (std::uint64_t k = 0; k < (quick ? 1u : 4u); ++k) {
       const int out_ms = k % 2 == 0 ? 5'000 : 20'000;
       process_day(seed * 100 + k, false, out_ms, process_leave, good, quiet);
       process_day(seed * 100 + k, true, out_ms, none, alone_good, alone_quiet);
@@ -165,19 +181,29 @@
     return 1;
   }
   std::printf("processes: in time from the onset on: fleet %.3f, alone %.3f\n", mean(good), mean(alone_good));
+  // Alone few leave at all: they go on asking their own zone.
+  std::printf("alone %zu of %llu days were left by all the zone's doormen", alone_leave.size(),
+              static_cast<unsigned long long>(returned));
+  if (!alone_leave.empty()) std::printf(", p99 %.0f ms", at(alone_leave, 0.99));
+  std::printf("\n");
   const double half = half_interval(gains);
   const auto n = [](std::uint64_t v) { return static_cast<unsigned long long>(v); };
   std::printf(
       "zones processes=6 sim_doormen=%zu days=%zu leave_p50_ms=%.0f leave_p99_ms=%.0f "
+      ""
+      "owner_killed_leave_p50_ms=%.0f owner_killed_leave_p99_ms=%.0f evidence_2s_late_leave_p99_ms=%.0f "
       "process_leave_p50_ms=%.0f "
       "process_leave_p99_ms=%.0f disagree_p99_ms=%.0f goodput_gain_vs_alone=%.4f goodput_gain_low=%.4f "
       "goodput_gain_high=%.4f return_s=%.1f alone_return_s=%.1f peak_fills_vs_bearable=%.2f "
-      "alone_peak_fills_vs_bearable=%.2f relapses=%llu alone_relapses=%llu false_leaves=%llu "
+      "alone_peak_fills_vs_bearable=%.2f days_over_bearable=%.3f relapses=%llu alone_relapses=%llu "
+      "false_leaves=%llu "
       "missed_grey=%llu "
       "old_decisions_applied=%llu unsound=%llu hits_kept=%.3f worst_vs_alone=%.4f request_p99_cost_ms=%.2f\n",
-      most, jobs.size(), at(leave, 0.5), at(leave, 0.99), at(process_leave, 0.5), at(process_leave, 0.99),
-      at(disagree, 0.99), mean(gains), mean(gains) - half, mean(gains) + half, mean(back), mean(alone_back),
-      peak, alone_peak, n(relapses), n(alone_relapses), n(false_leaves), n(missed), n(old), n(unsound),
-      at(kept, 0.05), worst, at(quiet, 0.99) - at(alone_quiet, 0.99));
+      most, jobs.size(), at(leave, 0.5), at(leave, 0.99), at(owner_leave, 0.5), at(owner_leave, 0.99),
+      at(late_leave, 0.99), at(process_leave, 0.5), at(process_leave, 0.99), at(disagree, 0.99), mean(gains),
+      mean(gains) - half, mean(gains) + half, mean(back), mean(alone_back), peak, alone_peak,
+      returned == 0 ? 0.0 : static_cast<double>(over) / static_cast<double>(returned), n(relapses),
+      n(alone_relapses), n(false_leaves), n(missed), n(old), n(unsound), at(kept, 0.05), worst,
+      at(quiet, 0.99) - at(alone_quiet, 0.99));
   return 0;
 }
--- a/src/fleet/zones/follower.cpp
+++ b/src/fleet/zones/follower.cpp
@@ -70,10 +70,7 @@
 void Follower::promote(std::int64_t now_ms) {
   if (!next_ || now_ms < next_ms_) return;
   for (auto& [zone, watch] : watches_) {
-    const Entry* before = now_.of(zone);
-    const Entry* after = next_->of(zone);
-    // What is seen under another share is judged by itself, as the owner does.
-    if ((before == nullptr ? 0 : before->version) != (after == nullptr ? 0 : after->version)) watch.calm();
+    if (judged_anew(now_.of(zone), next_->of(zone))) watch.calm();  // as the owner does
   }
   now_ = std::move(*next_);
   next_.reset();
--- a/src/fleet/zones/judge.cpp
+++ b/src/fleet/zones/judge.cpp
@@ -505,16 +505,18 @@
   for (const Entry& e : picture.entries) {
     Zone& z = zones_[e.zone];
     if (z.version == e.version) continue;
+    const bool anew = judged_anew(z.version == 0 ? nullptr : &z.stood, &e);
     z.version = e.version;
     z.version_ms = now_ms;
-    // What follows is judged by itself.
+    z.stood = e;
+    // Each step is counted by itself.
     for (auto& [name, d] : doormen_) {
       const auto it = d.asked.find(e.zone);
       if (it == d.asked.end()) continue;
       Asked& a = it->second;
       a.all = a.bad = a.over = a.fills = a.well = 0;
       a.failed_ms = now_ms;
-      a.watch.calm();
+      if (anew) a.watch.calm();
     }
   }
 }
--- a/src/fleet/zones/judge.hpp
+++ b/src/fleet/zones/judge.hpp
@@ -94,6 +94,7 @@
     std::uint64_t answers = 0, fills = 0;  // since `since_ms`
     std::int64_t since_ms = 0;
     std::uint64_t version = 0;  // of its entry
+    Entry stood;                // as it was before
     std::int64_t version_ms = 0, hold_until_ms = 0, calm_since_ms = 0;
     std::int64_t cut_ms = -1;  // since when it is bad, while it is
     double budget = 0.0;       // requests a second that all together may send it in this step
--- a/src/fleet/zones/picture.cpp
+++ b/src/fleet/zones/picture.cpp
@@ -89,6 +89,14 @@
   return kWords[static_cast<std::size_t>(mode)];
 }
 
+bool judged_anew(const Entry* before, const Entry* after) {
+  if ((before == nullptr ? 0 : before->version) == (after == nullptr ? 0 : after->version)) return false;
+  if (before == nullptr || before->phase != Phase::kReturning) return true;
+  const bool on = after == nullptr || after->phase == Phase::kIn ||
+                  (after->phase == Phase::kReturning && after->share >= before->share);
+  return !on;
+}
+
 const Entry* Picture::of(const std::string& zone) const {
   const auto it =
       std::find_if(entries.begin(), entries.end(), [&](const Entry& e) { return e.zone == zone; });
--- a/src/fleet/zones/picture.hpp
+++ b/src/fleet/zones/picture.hpp
@@ -44,6 +44,10 @@
   std::uint32_t borne = kWhole;  // of what goes elsewhere
   bool operator==(const Entry&) const = default;
 };
+// Whether what is seen of a zone is judged by itself after this change, or adds to what was seen before: from
+// step to step of a return it adds, else a zone that loses one answer in ten would pass every step for
+// itself. Null: not in the picture.
+bool judged_anew(const Entry* before, const Entry* after);
 struct Picture {
   std::uint64_t term = 0, number = 0;
   std::vector<Entry> entries;
--- a/src/standin/zonal.cpp
+++ b/src/standin/zonal.cpp
@@ -115,6 +115,7 @@
     zones::Shares shares;
     std::uint64_t number = 0;
     std::int64_t laid_ms = -1'000'000;
+    int sent = 0, sent_home = 0;  // attempts of this second
   };
   struct Depot {
     std::unordered_set<std::uint64_t> held;
@@ -211,6 +212,7 @@
     h.sent_ms = now_;
     h.until_ms = std::max(now_ + 1, (step.until / kMs) - kUnixAhead);
     const std::uint64_t attempt = h.attempt = ++attempts_;
+    ++d.sent;
     if (step.depot == kOrigin && d.zone == 0) ++to_origin_;
     if (step.depot == kOrigin) return due(now_ + 40, i, id, attempt, End::kServed, kRemarkFilled);
     const std::size_t n = step.depot - kFirst;
@@ -219,6 +221,7 @@
     if (drained_.contains(n) && now_ > drained_[n] + 250)
       breach(r_.to_drained, "a request goes to a drained depot");
     if (zone == 0) ++zone_asked_;
+    d.sent_home += zone == d.zone;
     d.evidence.began(attempt, zone_name(zone), step.depot, now_);
     ++depot.asked;
     if (depot.down) return due(now_ + 1, i, id, attempt, End::kUnreached, 0);
@@ -433,6 +436,14 @@
       if (d.zone == 0) share += d.shares.home, ++n, left += d.shares.home < 0.5;
     }
     s.share = share / static_cast<double>(n);
+    // Alone a doorman has left its zone once it sends less than half of its attempts there, by the second.
+    for (std::size_t i = 0; i < doormen_.size(); ++i) {
+      Doorman& d = doormen_[i];
+      const bool left = o_.alone && d.zone == 0 && now_ > kOnset && now_ <= kOnset + o_.lasts_ms &&
+                        d.sent > 0 && 2 * d.sent_home < d.sent;
+      if (left) left_at_.try_emplace(i, now_);
+      d.sent = d.sent_home = 0;
+    }
     r_.course.push_back(s);
     const std::int64_t back = kOnset + (o_.day == Day::kTwo ? 2 * o_.lasts_ms : o_.lasts_ms);
     if (now_ > back) {
--- a/tests/zones_test.cpp
+++ b/tests/zones_test.cpp
@@ -232,6 +232,41 @@
   }
 }
 
+TEST_CASE(
+    "What is seen from step to step of a return adds up; under any other share it is judged by itself") {
+  using zones::Phase;
+  const auto entry = [](std::uint64_t version, Phase phase, std::uint32_t share) {
+    zones::Entry e;
+    e.version = version;
+    e.phase = phase;
+    e.share = share;
+    return e;
+  };
+  const zones::Entry in = entry(1, Phase::kIn, 10'000), left = entry(2, Phase::kLeft, 1'500),
+                     first = entry(3, Phase::kReturning, 3'000), second = entry(4, Phase::kReturning, 6'000),
+                     back = entry(5, Phase::kReturning, 3'000), done = entry(6, Phase::kIn, 10'000);
+  struct Case {
+    const zones::Entry *before, *after;
+    bool anew;
+  };
+  for (const Case& c :
+       {Case{nullptr, &left, true}, Case{&in, &left, true}, Case{&left, &first, true},
+        Case{nullptr, &first, true}, Case{&first, &first, false}, Case{&first, &second, false},
+        Case{&second, &back, true}, Case{&second, &left, true}, Case{&second, &done, false},
+        Case{&second, nullptr, false}, Case{nullptr, nullptr, false}}) {
+    CHECK(zones::judged_anew(c.before, c.after) == c.anew);
+  }
+  // A zone that loses one answer in ten passes each step for itself; it is not back before it is well.
+  standin::ZonalOptions o;
+  o.day = standin::Day::kGrey;
+  o.seed = 100'001;
+  o.lasts_ms = 25'000;
+  o.after_ms = 20'000;
+  const auto r = standin::zonal(o);
+  CHECK(r.leave_ms > 0);
+  CHECK(r.relapses == 0);
+}
+
 TEST_CASE("A step that goes ill is taken back, and is no relapse; fills stay below what is bearable") {
   for (const auto& [day, seed] : {std::pair(standin::Day::kSilent, 26), {standin::Day::kRefuse, 21}}) {
     standin::ZonalOptions o;
