--- a/tests/zoned.hpp
+++ b/tests/zoned.hpp
@@ -50,6 +50,29 @@
       for (std::size_t k = 0; k < kClients; ++k) threads_.emplace_back([this, i, k] { run(i, k); });
     }
   }
+  // All doormen serve and know what is usual; a zone falls silent and is left; it comes back cold and
+  // returns.
+  void settle(int ms = 2'500) {
+    begin();
+    pause(ms);
+  }
+  bool falls_silent(std::size_t zone) {
+    fault(zone, {.silent = true});
+    return wait(zone, "left");
+  }
+  void restart(std::size_t zone) {
+    down(zone);
+    up(zone);
+  }
+  bool returning(std::size_t zone) {
+    return Doormen::until([&] { return line(of_zone(zone)[0], zone).starts_with("returning"); });
+  }
+  // Of the requests a second from now on.
+  double good_soon() {
+    const double from = now();
+    pause(2'000);
+    return good(from + 1'000, from + 2'000);
+  }
   void end() {
     over_ = true;
     for (std::thread& t : threads_) t.join();
--- a/tests/zones_process_test.cpp
+++ b/tests/zones_process_test.cpp
@@ -292,13 +292,10 @@
 TEST_CASE(
     "A purge of half of all objects and a doorman's restart fall into a return: no older copy will do") {
   Zoned z({});
-  z.begin();
-  Zoned::pause(2'500);
-  z.fault(0, {.silent = true});
-  REQUIRE(z.wait(0, "left"));
-  z.down(0);
-  z.up(0);
-  REQUIRE(Doormen::until([&] { return z.line(z.of_zone(0)[0], 0).starts_with("returning"); }));
+  z.settle();
+  REQUIRE(z.falls_silent(0));
+  z.restart(0);
+  REQUIRE(z.returning(0));
   z.yard.purge_odd(Zoned::kOddGroup);
   const std::size_t again = z.of_zone(0)[1];
   z.away(again, true);
@@ -322,18 +319,13 @@
   o.fleet.evidence_late_ms = 2'000;
   o.fleet.ahead_ms = {2'000, 0, -2'000, 0, 1'000, 0};
   Zoned z(o);
-  z.begin();
   z.d.between.lose(0.2);
-  Zoned::pause(4'500);
-  z.fault(2, {.silent = true});
-  REQUIRE(z.wait(2, "left"));
+  z.settle(4'500);
+  REQUIRE(z.falls_silent(2));
   CHECK(z.all_show(0, "in 100%"));
   CHECK(z.all_show(1, "in 100%"));
-  const double left = z.now();
-  Zoned::pause(2'000);
-  CHECK(z.good(left + 1'000, left + 2'000) > 0.8);
-  z.down(2);
-  z.up(2);
+  CHECK(z.good_soon() > 0.8);
+  z.restart(2);
   CHECK(z.wait(2, "in 100%", kReturnMs));
   z.end();
   CHECK(z.lost() == 0);
@@ -341,21 +333,15 @@
 
 TEST_CASE("Two zones one after the other, the second while the first returns: each is left and returned to") {
   Zoned z({});
-  z.begin();
-  Zoned::pause(2'500);
-  z.fault(0, {.silent = true});
-  REQUIRE(z.wait(0, "left"));
-  z.down(0);
-  z.up(0);
-  REQUIRE(Doormen::until([&] { return z.line(z.of_zone(0)[0], 0).starts_with("returning"); }));
+  z.settle();
+  REQUIRE(z.falls_silent(0));
+  z.restart(0);
+  REQUIRE(z.returning(0));
   z.fault(1, {.resets = true});
   REQUIRE(z.wait(1, "left"));
   CHECK(z.all_show(2, "in 100%"));
-  const double left = z.now();
-  Zoned::pause(2'000);
-  CHECK(z.good(left + 1'000, left + 2'000) > 0.8);
-  z.down(1);
-  z.up(1);
+  CHECK(z.good_soon() > 0.8);
+  z.restart(1);
   CHECK(z.wait(0, "in 100%", kReturnMs));
   CHECK(z.wait(1, "in 100%", kReturnMs));
   z.end();
@@ -364,8 +350,7 @@
 
 TEST_CASE("A zone that goes and comes each 3 s is held longer each time, and those who serve it stay well") {
   Zoned z({});
-  z.begin();
-  Zoned::pause(2'500);
+  z.settle();
   const double from = z.now();
   int left = 0;
   bool was = false;
