End client connections in order: stop taking, answer, half-close, drain, close

Seen, with the program held (SIGSTOP) while the client acts: eight answers of 240 KB on their way were lost when bytes that are no FastCGI followed them, since the close over unread bytes reset the connection; a request that took over 2 s to come was cut off; requests whose client had already left were begun, since the end of file lay behind their bytes. Ruled out: TCP_NODELAY (set on both sides).

A connection now has phases (open, closing, half-closed, closed). Every wait has its end: 1 s of linger, 2 s without a byte of a request, 10 s for one. What comes after our half is closed is dropped and never sent on. Reading goes on while a connection ends, so a client that leaves meanwhile is seen. Before requests are begun poll(POLLRDHUP) tells whether their client is still there.

--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -1,11 +1,14 @@
 #include "net/front.hpp"
 
+#include <poll.h>
+
 #include <algorithm>
 #include <array>
 #include <charconv>
 #include <cmath>
 #include <map>
 #include <string_view>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -21,9 +24,17 @@
 constexpr std::size_t kMostUnwritten = 4u << 20;  // of one connection, before it is read no further
 constexpr auto kStall = seconds(10);  // a client that takes nothing for so long is gone or harmful
 constexpr auto kIdle = seconds(6);  // longer than the clients' own 4 s, so that those who behave close first
-// Clients send what they have at once. One that says nothing, or does not end what it began, has no more
-// time.
-constexpr auto kUnfinished = seconds(2);
+// A request that has come in part: the longest pause between two of its bytes, and the longest it may take in
+// all. Some clients write slowly, and a request that comes whole is owed an answer.
+constexpr auto kRequestPause = seconds(2);
+constexpr auto kRequestTime = seconds(10);
+// After our half is closed: so long what the client still sends is read and dropped, for its end of file.
+constexpr auto kLinger = seconds(1);
+// A client that goes on sending is answered before our half is closed, but not for longer than this.
+constexpr auto kClosingTime = seconds(2);
+// A request that crossed our closing of its connection is sent again on a new one. So long after the last
+// connection has ended one may still come.
+constexpr auto kResent = milliseconds(100);
 constexpr auto kSilent = milliseconds(200);  // of a new connection, before it may have to make room
 constexpr auto kWatch = milliseconds(250);
 constexpr auto kAcceptAgain = milliseconds(20);
@@ -107,6 +118,9 @@
   return true;
 }
 
+// One client connection. It ends in order: no further request is taken, what is open is answered and written,
+// our half is closed, and the socket only once the client has closed its own. A close over unread bytes would
+// reset the connection, and take answers with it that the client has not read yet.
 class Front::Connection : public std::enable_shared_from_this<Connection> {
  public:
   Connection(Front& front, Tcp::socket socket)
@@ -124,7 +138,7 @@
   }
 
   void write(std::string bytes) {
-    if (closed_ || bytes.empty()) return;
+    if (phase_ >= Phase::kHalfClosed || bytes.empty()) return;
     // Memory is bounded: when it runs short, those who do not take what they are sent go first.
     if (unwritten_ > kMostUnwritten / 16 && front_.held_ > 2 * front_.limits_.held_bytes) return close();
     front_.held_ += bytes.size();
@@ -134,72 +148,114 @@
   }
   void answered(std::uint16_t id, bool keep) {
     session_.finished(id);
-    if (!keep) close_after_ = true;
-    close_if_done();
+    if (!keep) return finish();
+    settle();
+  }
+  // Ends in order, as soon as nothing is open or unwritten.
+  void finish() {
+    if (phase_ == Phase::kOpen) {
+      phase_ = Phase::kClosing;
+      phase_since_ = Clock::now();
+    }
+    half_close_if_done();
   }
+  // Ends at once.
   void close() {
-    if (std::exchange(closed_, true)) return;
+    if (phase_ == Phase::kClosed) return;
+    phase_ = Phase::kClosed;
     Error ignored;
     timer_.cancel();
     socket_.shutdown(Tcp::socket::shutdown_both, ignored);
     socket_.close(ignored);
     front_.held_ -= unwritten_ + assembling_;
     unwritten_ = assembling_ = 0;
-    std::vector<Ticket> left;
-    for (const auto& [id, ticket] : tickets_) left.push_back(ticket);
-    tickets_.clear();
-    for (const Ticket ticket : left) drop(ticket);
+    abandon();
     front_.connections_.erase(shared_from_this());
+    front_.last_ended_ = Clock::now();
   }
   bool written() const { return unwritten_ == 0; }
-  // Nothing is open and nothing has come: it may be closed to make room for another. Not a new one, whose
-  // request may be on its way.
+  // It may be closed at once to make room for another. Not a new one, whose request may be on its way.
   bool spare(Clock::time_point now) const {
-    Error error;
-    return tickets_.empty() && unwritten_ == 0 &&
-           (asked_ ? !session_.unfinished() : now - active_ > kSilent) && socket_.available(error) == 0;
+    if (phase_ == Phase::kHalfClosed) return true;
+    return quiet() && (asked_ ? !session_.unfinished() : now - active_ > kSilent);
+  }
+  // Those that are ending go first, then those that never asked for anything, then those idle for the longest.
+  std::tuple<bool, bool, Clock::time_point> worth() const {
+    return {phase_ != Phase::kHalfClosed, asked_, active_};
   }
-  // Those that never asked for anything go first, then those idle for the longest.
-  std::pair<bool, Clock::time_point> worth() const { return {asked_, active_}; }
   void forget(std::uint16_t id) { tickets_.erase(id); }
   // Best right after an answer: the client can't have sent what that answer leads to.
-  void close_if_idle() {
-    if (!closed_ && front_.duty_.close_idle && spare(Clock::now())) close();
+  void finish_if_idle() {
+    if (phase_ == Phase::kOpen && front_.duty_.close_idle && idle(Clock::now())) half_close();
   }
 
  private:
+  enum class Phase {
+    kOpen,
+    kClosing,     // further requests are refused; our half is closed once nothing is open or unwritten
+    kHalfClosed,  // what comes now is dropped, until the client closes its half
+    kClosed
+  };
+
+  std::size_t unread() const {
+    Error error;
+    return socket_.available(error);
+  }
+  // Nothing is open, unwritten or waits to be read.
+  bool quiet() const { return tickets_.empty() && unwritten_ == 0 && unread() == 0; }
+  bool idle(Clock::time_point now) const {
+    return quiet() && !session_.unfinished() && (asked_ || now - active_ > kSilent);
+  }
+  // The client has closed or aborted, though what it sent before may still be unread.
+  bool left() {
+    pollfd socket{socket_.native_handle(), POLLIN | POLLRDHUP, 0};
+    return ::poll(&socket, 1, 0) > 0 && (socket.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+  }
+
   void read() {
+    if (phase_ == Phase::kClosed || reading_ || ended_) return;
     // A client that does not take its answers is asked for no more of them until it does.
-    if (closed_ || reading_ || close_after_ || unwritten_ > kMostUnwritten) return;
+    if (phase_ != Phase::kHalfClosed && !spoilt_ && unwritten_ > kMostUnwritten) return;
     reading_ = true;
-    // The bytes stay in the kernel until they are looked at, so that `spare` sees a request that has come.
+    // The bytes stay in the kernel until they are looked at, so that `quiet` sees a request that has come.
     socket_.async_wait(Tcp::socket::wait_read, [self = shared_from_this()](Error error) {
       self->reading_ = false;
-      if (self->closed_) return;
+      if (self->phase_ == Phase::kClosed) return;
       const std::size_t n = error ? 0 : self->socket_.read_some(asio::buffer(self->in_), error);
       if (error == asio::error::would_block || error == asio::error::try_again) return self->read();
-      if (error) return self->close();
-      self->active_ = Clock::now();
+      if (error) return self->ended(error);
       self->came({self->in_.data(), n});
       self->read();
     });
   }
 
+  // The client has closed its half or the whole: it waits for no answer, and what is open is given up.
+  void ended(const Error& error) {
+    ended_ = true;
+    abandon();
+    if (error != asio::error::eof || unwritten_ == 0 || phase_ == Phase::kHalfClosed) return close();
+    finish();  // once what was answered before is written
+  }
+
   void came(std::string_view bytes) {
+    if (phase_ == Phase::kHalfClosed || spoilt_) return;  // not taken, and never sent on
+    active_ = Clock::now();
     std::vector<fastcgi::Event> events;
     std::string replies;
     const bool fine = session_.feed(bytes, events, replies);
     front_.held_ += session_.held() - assembling_;  // unsigned, and it may fall: the sum comes out right
     assembling_ = session_.held();
     write(std::move(replies));
-    const bool unfinished = session_.unfinished() || (!asked_ && events.empty());
+    const bool unfinished = session_.unfinished();
     if (unfinished && !unfinished_) since_ = Clock::now();
     unfinished_ = unfinished;
+    // Nothing is begun for a client that sent its requests and left: its end is read next.
+    const bool gone = !events.empty() && left();
     for (fastcgi::Event& event : events) {
-      if (closed_) return;
+      if (phase_ == Phase::kClosed) return;
       asked_ = true;
       if (event.kind == fastcgi::Event::Kind::kRequest) {
-        request(event.request);
+        if (!gone) request(event.request);
       } else if (const auto it = tickets_.find(event.request.id); it != tickets_.end()) {
         const Ticket ticket = it->second;
         tickets_.erase(it);
@@ -209,11 +265,14 @@
     }
     // Memory is bounded: too much that never comes whole is ended where it grows.
     const bool too_much = assembling_ > 0 && front_.held_ > 2 * front_.limits_.held_bytes;
-    if (closed_) return;
+    if (phase_ == Phase::kClosed) return;
     if (!fine || too_much) {  // only this connection suffers
       ++front_.counters_.malformed;
-      close();
+      spoilt_ = true;
+      abandon();
+      finish();
     }
+    settle();
   }
 
   void request(fastcgi::Request& r) {
@@ -237,8 +296,8 @@
       // This connection has to fall idle; other doormans serve the request at once.
       ++front_.counters_.turned_away;
       append_response(out, r.id, head_of({Answer::Kind::kRefused, 503, 0, {}}), "");
-    } else if (front_.held_ > front_.limits_.held_bytes) {
-      // Memory is bounded: past it nothing more is taken, and to refuse is harmless.
+    } else if (front_.held_ > front_.limits_.held_bytes || phase_ != Phase::kOpen) {
+      // Memory is bounded, and a connection that is ending takes nothing more: to refuse is harmless.
       ++front_.counters_.turned_away;
       fastcgi::append_end(out, r.id, fastcgi::EndStatus::kOverloaded);
     } else {
@@ -255,6 +314,13 @@
     answered(r.id, r.keep_connection);
   }
 
+  // No answer is owed for anything that is open here.
+  void abandon() {
+    std::vector<Ticket> left;
+    for (const auto& [id, ticket] : tickets_) left.push_back(ticket);
+    tickets_.clear();
+    for (const Ticket ticket : left) drop(ticket);
+  }
   void drop(Ticket ticket) {
     const auto it = front_.open_.find(ticket);
     if (it == front_.open_.end()) return;
@@ -265,7 +331,7 @@
   }
 
   void pump() {
-    if (writing_ || queue_.empty() || closed_) return;
+    if (writing_ || queue_.empty() || phase_ == Phase::kClosed) return;
     writing_ = true;
     out_.clear();
     out_.swap(queue_);
@@ -276,7 +342,7 @@
   void step(std::size_t from) {
     socket_.async_write_some(asio::buffer(out_.data() + from, out_.size() - from),
                              [self = shared_from_this(), from](Error error, std::size_t n) {
-                               if (self->closed_) return;
+                               if (self->phase_ == Phase::kClosed) return;
                                if (error) return self->close();
                                self->active_ = Clock::now();
                                self->unwritten_ -= n;
@@ -286,7 +352,7 @@
                                if (self->queue_.empty() && self->out_.capacity() > kMostUnwritten / 4)
                                  std::string().swap(self->out_);
                                self->pump();
-                               self->close_if_done();
+                               self->settle();
                                self->read();
                              });
   }
@@ -294,35 +360,56 @@
   void watch() {
     timer_.expires_after(kWatch);
     timer_.async_wait([self = shared_from_this()](Error error) {
-      if (error || self->closed_) return;
-      const auto now = Clock::now();
-      const auto still = now - self->active_;
-      const bool stalled = self->unwritten_ > 0 && still > kStall;
-      const bool idle = self->unwritten_ == 0 && self->tickets_.empty() && still > kIdle;
-      if (stalled || idle) return self->close();
-      // What was taken before is still answered, but nothing more is read.
-      if (self->unfinished_ && now - self->since_ > kUnfinished) self->close_after_ = true;
-      self->close_if_done();
-      if (!self->closed_) self->watch();
+      if (error || self->phase_ == Phase::kClosed) return;
+      self->look(Clock::now());
+      if (self->phase_ != Phase::kClosed) self->watch();
     });
   }
-  void close_if_done() {
-    if (close_after_ && tickets_.empty() && unwritten_ == 0) return close();
-    close_if_idle();
+  // Every wait for the client has its end.
+  void look(Clock::time_point now) {
+    const auto still = now - active_;
+    if (unwritten_ > 0 && still > kStall) return close();
+    if (phase_ == Phase::kHalfClosed && now - phase_since_ > kLinger) return close();
+    if (phase_ == Phase::kOpen && idle(now) && still > kIdle) return half_close();
+    if (phase_ == Phase::kOpen && unfinished_ && (still > kRequestPause || now - since_ > kRequestTime))
+      return finish();
+    settle();
+  }
+  void settle() {
+    half_close_if_done();
+    finish_if_idle();
+  }
+  void half_close_if_done() {
+    if (phase_ != Phase::kClosing || !tickets_.empty() || unwritten_ > 0) return;
+    if (ended_) return close();
+    // What has come in this very moment is read and answered first.
+    if (!spoilt_ && unread() > 0 && Clock::now() - phase_since_ < kClosingTime) return;
+    half_close();
+  }
+  void half_close() {
+    phase_ = Phase::kHalfClosed;
+    phase_since_ = Clock::now();
+    Error ignored;
+    socket_.shutdown(Tcp::socket::shutdown_send, ignored);
+    read();
   }
 
   Front& front_;
   Tcp::socket socket_;
   asio::steady_timer timer_;
   Clock::time_point active_ = Clock::now();
-  Clock::time_point since_ = active_;  // when what is unfinished began
-  bool unfinished_ = true;             // there is no whole request yet, or a later one has come in part
+  Clock::time_point since_ = active_;  // when the request that has come in part began
+  bool unfinished_ = false;            // one has come in part
   bool asked_ = false;                 // there was a whole request
+  bool spoilt_ = false;                // what came is no FastCGI, or too much: the rest is passed over
+  bool ended_ = false;                 // the client's end of file was read
+  Phase phase_ = Phase::kOpen;
+  Clock::time_point phase_since_ = active_;
   std::array<char, 16 * 1024> in_;
   std::string queue_, out_;
   std::size_t unwritten_ = 0;   // in both
   std::size_t assembling_ = 0;  // in the session
-  bool reading_ = false, writing_ = false, closed_ = false, close_after_ = false;
+  bool reading_ = false, writing_ = false;
   fastcgi::Session session_;
   std::unordered_map<std::uint16_t, Ticket> tickets_;
 };
@@ -348,7 +435,7 @@
   if (!duty.accept && before.accept) acceptor_.cancel(ignored);
   if (!duty.close_idle || before.close_idle) return;
   const std::vector<std::shared_ptr<Connection>> all(connections_.begin(), connections_.end());
-  for (const auto& c : all) c->close_if_idle();
+  for (const auto& c : all) c->finish_if_idle();
 }
 
 void Front::accept() {
@@ -359,10 +446,7 @@
   acceptor_.async_accept([this](Error error, Tcp::socket socket) {
     waiting_ = false;
     if (!error) {  // ours, also when no more are wanted by now
-      ++counters_.connections;
-      auto connection = std::make_shared<Connection>(*this, std::move(socket));
-      connections_.insert(connection);
-      connection->start();
+      adopt(std::move(socket));
     } else if (error != asio::error::operation_aborted) {  // out of descriptors, say: not to spin on it
       make_room();
       return accept_later();
@@ -371,6 +455,31 @@
   });
 }
 
+void Front::adopt(Tcp::socket socket) {
+  ++counters_.connections;
+  auto connection = std::make_shared<Connection>(*this, std::move(socket));
+  connections_.insert(connection);
+  connection->start();
+}
+
+bool Front::stop_listening() {
+  if (!acceptor_.is_open()) return true;
+  Error error;
+  acceptor_.cancel(error);
+  acceptor_.non_blocking(true, error);
+  bool none = true;
+  while (connections_.size() < limits_.connections) {
+    Tcp::socket socket(io_);
+    acceptor_.accept(socket, error);
+    if (error) break;
+    adopt(std::move(socket));
+    none = false;
+  }
+  none = none && (error == asio::error::would_block || error == asio::error::try_again);
+  if (none) close();
+  return none;
+}
+
 bool Front::make_room() {
   const auto now = Clock::now();
   std::shared_ptr<Connection> least;
@@ -395,7 +504,9 @@
   acceptor_.close(ignored);
 }
 
-bool Front::empty() const { return connections_.empty() && !waiting_; }
+bool Front::empty() const {
+  return connections_.empty() && (duty_.accept || !waiting_) && Clock::now() - last_ended_ >= kResent;
+}
 
 bool Front::idle() const {
   return open_.empty() &&
--- a/src/net/front.hpp
+++ b/src/net/front.hpp
@@ -32,10 +32,15 @@
   void limit(const Limits& limits) { limits_ = limits; }
   // From here on: who is taken, what is told of our readiness, which connections end.
   void attend(const lifecycle::Duty& duty);
-  // For good; on a socket of our own those who still wait to be taken are turned away.
+  // On a socket of our own, for good. False: there were connections that waited to be taken; they are taken
+  // now, since a close would reset them, and we listen on.
+  bool stop_listening();
+  // For good; those who still wait to be taken are turned away where the socket is our own.
   void close();
   bool idle() const;  // nothing is open and every answer is written
-  bool empty() const;  // there is no connection, and none on its way from the kernel
+  // There is no connection, none on its way from the kernel, and the last one ended long enough ago for a
+  // request that crossed its end to have come again.
+  bool empty() const;
   void answer(Ticket ticket, const Answer& answer);
 
  private:
@@ -47,6 +52,7 @@
     bool keep = true;
   };
   void accept();
+  void adopt(Tcp::socket socket);
   bool make_room();  // closes the connection that is missed least, if there is one
   void accept_later();
 
@@ -60,6 +66,7 @@
   bool waiting_ = false;  // for the next connection
   Ticket next_ticket_ = 1;
   std::size_t held_ = 0;
+  std::chrono::steady_clock::time_point last_ended_{};  // a connection
   std::unordered_map<Ticket, Open> open_;
   std::unordered_set<std::shared_ptr<Connection>> connections_;
 };
--- /dev/null
+++ b/tests/crossing_test.cpp
@@ -0,0 +1,186 @@
+// Pairs of events that can cross, each forced into its bad order with real connections: the program is held
+// (SIGSTOP) while the other side acts, or a scripted peer waits for what it has seen. docs/design/crossings.md
+// lists the pairs and what must hold.
+#include <sys/socket.h>
+
+#include <catch2/catch.hpp>
+#include <chrono>
+#include <set>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "peers.hpp"
+#include "site.hpp"
+
+using namespace anisewick;
+using namespace anisewick::peers;
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+using std::chrono::milliseconds;
+
+Ask numbered(int n, const char* cls = "slot-page") {
+  Ask a;
+  a.cls = cls;
+  a.id = hex16(0x5000u + static_cast<unsigned>(n));
+  a.object = hex16(0xdef000u + static_cast<unsigned>(n));
+  return a;
+}
+// Time that a deadline of the program needs to pass; never what a check rests on.
+void pass(milliseconds time) { std::this_thread::sleep_for(time); }
+void until(const Clock::time_point at) { std::this_thread::sleep_until(at); }
+
+// A client with one answered request and nothing open: a resting connection.
+Stream resting(Site& site, int n) {
+  Stream client = site.client();
+  client.write(request(1, numbered(n)));
+  site.caches.next().say("DONE", "remark=hit", "first");
+  CHECK(answer(client).body == "first");
+  return client;
+}
+// The next request that a cache server hears is this one, so nothing else was passed on before it.
+void next_heard_is(Site& site, const Ask& ask) {
+  Stream marker = site.client();
+  marker.write(request(1, ask));
+  const Heard h = site.caches.next();
+  CHECK((h.verb == "fetch" && h.id == ask.id));
+  h.say("DONE", "remark=hit", "marker");
+  CHECK(answer(marker).body == "marker");
+}
+
+constexpr milliseconds kServesOn{1'000};  // after SIGTERM, before resting connections are ended
+
+}  // namespace
+
+// ---- Ends of client connections
+
+TEST_CASE("Answers on their way are not lost when more bytes come as their connection is ended") {
+  Site site;
+  site.start();
+  Stream client = site.client();
+  const std::string big(240'000, 'b');
+  constexpr int kRequests = 8;  // more than the sockets hold: some of it is still to be written
+  for (int n = 0; n < kRequests; ++n) {
+    client.write(request(n + 1, numbered(n)));
+    site.caches.next().say("DONE", "remark=hit", big);
+  }
+  Site::until(*site.program, "served=8 ");
+  client.write("GET / HTTP/1.1\r\n" + std::string(100'000, 'x'));  // ends the connection, with bytes behind it
+  std::set<int> ids;
+  for (int n = 0; n < kRequests; ++n) {
+    const Answer a = answer(client);
+    CHECK(a.body == big);
+    ids.insert(a.id);
+  }
+  CHECK(ids.size() == kRequests);
+  CHECK(client.ends());
+}
+
+TEST_CASE("A request on a resting connection that is just being ended for its rest is answered") {
+  Site site;
+  site.start();
+  const auto rests = Clock::now();
+  Stream client = resting(site, 1);
+  until(rests + milliseconds(5'500));
+  site.program->stop();
+  client.write(request(1, numbered(2)));
+  until(rests + milliseconds(6'800));  // its time to rest is over when the program goes on
+  site.program->signal(SIGCONT);
+  const Heard h = site.caches.next();
+  CHECK(h.id == numbered(2).id);
+  h.say("DONE", "remark=hit", "second");
+  CHECK(answer(client).body == "second");
+}
+
+TEST_CASE("A request that comes slowly is answered, and one that stands still is not waited for") {
+  Site site;
+  site.start();
+  Stream slow = site.client(), half = site.client();
+  const std::string bytes = request(1, numbered(1));
+  half.write(bytes.substr(0, 40));
+  constexpr std::size_t kPieces = 6;
+  for (std::size_t n = 0; n < kPieces; ++n) {
+    slow.write(bytes.substr(n * bytes.size() / kPieces, (n + 1) * bytes.size() / kPieces - n * bytes.size() / kPieces));
+    if (n + 1 < kPieces) pass(milliseconds(600));
+  }
+  site.caches.next().say("DONE", "remark=hit", "slow");
+  CHECK(answer(slow).body == "slow");
+  CHECK(half.ends());
+}
+
+// ---- SIGTERM
+
+TEST_CASE("Nothing is begun for a client that sent its requests and left before they were read") {
+  Site site;
+  site.start();
+  resting(site, 1);
+  site.program->stop();
+  {
+    Stream client = site.client();
+    client.write(request(1, numbered(2)) + request(2, numbered(3)));
+  }
+  {
+    Stream client = site.client();
+    client.write(request(1, numbered(4)));
+    client.reset();
+  }
+  site.program->signal(SIGCONT);
+  next_heard_is(site, numbered(5));
+}
+
+TEST_CASE("A client is seen to leave on a connection from which no more requests are taken") {
+  Site site;
+  site.start();
+  Stream client = site.client();
+  // The first does not ask to keep the connection: it ends after the answer, when the second is over too.
+  std::string first = request(1, numbered(1));
+  first[10] = 0;
+  client.write(first + request(2, numbered(2)));
+  const Heard one = site.caches.next(), two = site.caches.next();
+  (one.id == numbered(1).id ? one : two).say("DONE", "remark=hit", "x");
+  CHECK(answer(client).body == "x");
+  client = Stream();
+  const Heard abort = site.caches.next();
+  CHECK((abort.verb == "abort" && abort.id == numbered(2).id));
+}
+
+TEST_CASE("A request that waits for a connection goes nowhere once its client has left") {
+  Site site;
+  Listener full;  // its queue is full, and nobody accepts: connections to the first cache server never come up
+  ::listen(full.fd(), 0);
+  const Stream filler = Stream::to(full.port());
+  site.depots[0].port = full.port();
+  std::string hosts;
+  for (const Depot& d : site.depots) hosts += (hosts.empty() ? "" : ",") + d.json();
+  site.list(hosts);
+  site.start();
+  // Which of the two a request goes to is by its object; the second answers at once.
+  const bool aborts = GENERATE(false, true);
+  INFO((aborts ? "abort" : "close"));
+  int waiting = 0;
+  for (int n = 0; n < 40 && waiting < 5; ++n) {
+    Stream client = site.client();
+    client.write(request(1, numbered(n)));
+    if (const auto h = site.caches.next(100)) {
+      CHECK(h->id == numbered(n).id);
+      h->say("DONE", "remark=hit", "x");
+      CHECK(answer(client).body == "x");
+      continue;
+    }
+    ++waiting;  // for a connection, which is given up 400 ms after it was begun
+    if (aborts) {
+      client.write(record(2, 1, ""));
+      CHECK(answer(client).head.empty());
+    } else {
+      client.reset();
+    }
+    // Past the time at which it would be tried elsewhere, the other cache server hears nothing of it.
+    CHECK(!site.caches.next(600));
+  }
+  CHECK(waiting > 0);
+}
+
+// ---- Discovery
+
