After SIGTERM say no at once, end resting connections first, and take the backlog

Seen: a second after SIGTERM the program stopped accepting and left as soon as nothing was open. A request that came in that moment, on a resting connection or one still in the accept queue, was reset; one that crossed the end of its connection and came again met a closed port; /_health said yes for a second to a front that had not taken the program in yet.

Now who asks is told no from SIGTERM on. From one second after it resting connections are half-closed while the port is still listened on, the process goes 100 ms after the last one ended and only when nobody waits in the accept queue. Answers in hand at the last moment have 80 ms, so that the end is before the kill.

--- a/src/lifecycle/lifecycle.cpp
+++ b/src/lifecycle/lifecycle.cpp
@@ -66,11 +66,13 @@
         duty.may_end = true;
         empty(*term_at_, end - kLastWhile);
       } else {
+        // Who asks now is told no: a front that has not taken us in yet must not do so any more. All who come
+        // are served to the end, also a request that crossed our closing of its connection and comes again.
+        duty.accept = true;
         duty.may_end = from(*term_at_ + kServeOn);
-        duty.accept = !duty.may_end;
-        duty.ready = duty.accept && !duck_at_;
         // One that was told to empty goes on emptying.
         if (duck_at_) empty(*duck_at_ + kFrontHears, *duck_at_ + kRefuseAfter);
+        duty.close_idle = duty.close_idle || duty.may_end;
       }
       duty.refuse = duty.refuse || duty.must_end;
       break;
--- a/src/service/service.cpp
+++ b/src/service/service.cpp
@@ -19,7 +19,7 @@
 constexpr std::size_t kShared = 2;
 constexpr auto kWatch = std::chrono::milliseconds(50);  // between two looks at what other processes were told
 constexpr auto kBusTells = std::chrono::milliseconds(150);  // so long the bus takes to tell what it has
-constexpr lifecycle::Time kLastWrite = 100'000'000;         // to write the last answers
+constexpr lifecycle::Time kLastWrite = 80'000'000;  // to write the last answers, before the kill
 constexpr auto kLookAgain = std::chrono::milliseconds(10);
 constexpr std::int64_t kMs = 1'000'000;
 constexpr lifecycle::Time kMostDeadline = 3'600'000 * kMs;  // more is no figure to wait by
@@ -232,8 +232,9 @@
   front_.attend(duty);
   // A last answer, and a moment to write it: what is cut off without one is lost.
   if (duty.must_end && !std::exchange(failed_, true)) doorman_.fail_all();
-  const bool done = duty.close_idle ? front_.empty() : front_.idle();
-  const bool over = duty.must_end && (front_.idle() || now() >= over_at_);
+  const bool done = (duty.close_idle ? front_.empty() : front_.idle()) &&
+                    (around_.descriptor.has_value() || !duty.may_end || front_.stop_listening());
+  const bool over = duty.must_end && now() >= over_at_;
   if (over || (duty.may_end && done)) return end();
   if (!duty.must_end) over_at_ = now() + kLastWrite;
   auto after = std::chrono::nanoseconds(std::min(duty.changes - now(), 1'000 * kMs));
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -94,6 +94,18 @@
   CHECK(answer(client).body == "second");
 }
 
+TEST_CASE("A request that comes after our half was closed is not passed on") {
+  Site site;
+  site.start();
+  Stream client = resting(site, 1);
+  site.program->signal(SIGTERM);
+  CHECK(client.ends());  // our half is closed, and the client's is not
+  client.write(request(1, numbered(2)));
+  // It comes again on a new connection, which is still taken, and only that one is passed on.
+  next_heard_is(site, numbered(3));
+  CHECK(site.program->wait().first == 0);
+}
+
 TEST_CASE("A request that comes slowly is answered, and one that stands still is not waited for") {
   Site site;
   site.start();
@@ -112,6 +124,68 @@
 
 // ---- SIGTERM
 
+TEST_CASE("A request that came while the program was about to end is answered") {
+  const bool fresh = GENERATE(false, true);
+  INFO((fresh ? "on a connection that waits to be accepted" : "on a resting connection"));
+  Site site;
+  site.start();
+  Stream client = resting(site, 1);
+  site.program->signal(SIGTERM);
+  Site::until(*site.program, "served=1 ");  // it is handled in order: by now SIGTERM was
+  site.program->stop();
+  if (fresh) client = site.client();
+  client.write(request(1, numbered(2)));
+  pass(kServesOn + milliseconds(300));
+  site.program->signal(SIGCONT);
+  const Heard h = site.caches.next();
+  CHECK(h.id == numbered(2).id);
+  h.say("DONE", "remark=hit", "last");
+  CHECK(answer(client).body == "last");
+  CHECK(site.program->wait().first == 0);
+}
+
+TEST_CASE("After SIGTERM who asks is told that it is not ready, and requests are served") {
+  Site site;
+  site.start();
+  CHECK(site.health().has("Status: 200"));
+  site.program->signal(SIGTERM);
+  Site::until(*site.program, "health=1;");
+  CHECK(site.health().has("Status: 503"));
+  next_heard_is(site, numbered(1));
+  CHECK(site.program->wait().first == 0);
+}
+
+TEST_CASE("SIGTERM before there is any list: what comes is answered, and the end is in order") {
+  Site site("", true, false);
+  site.start();
+  Stream client = site.client();
+  site.program->signal(SIGTERM);
+  client.write(request(1, numbered(1)));
+  CHECK(answer(client).has("Status: 503"));
+  CHECK(client.ends());
+  const auto [code, said] = site.program->wait();
+  CHECK((code == 0 && said.find("refused=1 ") != std::string::npos));
+}
+
+TEST_CASE("A cache server that hangs at SIGTERM keeps no request without an answer") {
+  Site site;
+  site.start();
+  Stream client = site.client();
+  std::vector<Heard> hanging;
+  for (int n = 0; n < 4; ++n) {
+    Ask ask = numbered(n, n % 2 ? "book-slot" : "slot-page");
+    ask.patience_ms = 2'000;
+    client.write(request(n + 1, ask));
+    hanging.push_back(site.caches.next());
+  }
+  site.program->signal(SIGTERM);
+  for (int n = 0; n < 4; ++n) CHECK(answer(client).has("Status: 50"));
+  CHECK(client.ends());
+  CHECK(site.program->wait().first == 0);
+}
+
+// ---- Clients that leave
+
 TEST_CASE("Nothing is begun for a client that sent its requests and left before they were read") {
   Site site;
   site.start();
