Take a list that comes slowly in pieces, and give up a frame that breaks off

Seen: only a whole frame counted as a sign of life, so a list that took more than 1.6 s to come was asked for again without end and the program never became ready. Bytes now count, up to 4 s for one frame, so that a frame that broke off and is filled up by the empty ones behind it is noticed too.

The test writes a list in seven pieces over 2.4 s (fails before), then a frame that stands still. Two more cases guard what held already: a silent watch is opened again from the last number, and idle clients that fill the descriptors keep neither discovery nor cache servers from being reached.

--- a/src/bus/bus.hpp
+++ b/src/bus/bus.hpp
@@ -45,6 +45,8 @@
  public:
   // False: not the event bus, or out of step.
   bool feed(std::string_view bytes, std::vector<Event>& out);
+  // A frame has come in part.
+  bool midway() const { return !pending_.empty(); }
 
  private:
   std::string pending_;
--- a/src/links/bus_client.cpp
+++ b/src/links/bus_client.cpp
@@ -6,12 +6,16 @@
 namespace anisewick::links {
 namespace {
 
+using Clock = std::chrono::steady_clock;
 using std::chrono::milliseconds;
 
 // Events count as told while we are away, and a drain must be heeded within 250 ms: so all of this is short.
 constexpr milliseconds kConnectLimit{200};
 constexpr milliseconds kPause{20};
 constexpr milliseconds kSilence{1600};  // something comes every second
+// A long list may come in pieces. One that is not whole by then has broken off, even if bytes come that seem to
+// belong to it.
+constexpr milliseconds kFrameLimit{4000};
 
 }  // namespace
 
@@ -39,6 +43,7 @@
       if (e) return again();
       if (up_) up_();
     });
+    frame_began_ = Clock::now();
     watch(kSilence);
     read();
   });
@@ -52,8 +57,9 @@
     const bool fine = reader_.feed({in_.data(), n}, events);
     heed(events);
     if (!fine) return again();
-    // Only a whole frame is a sign of life: one that broke off and is never ended must be noticed too.
-    if (!events.empty()) watch(kSilence);
+    const auto now = Clock::now();
+    if (!events.empty() || !reader_.midway()) frame_began_ = now;
+    watch(std::min(kSilence, std::chrono::ceil<milliseconds>(frame_began_ + kFrameLimit - now)));
     read();
   });
 }
--- a/src/links/bus_client.hpp
+++ b/src/links/bus_client.hpp
@@ -52,6 +52,7 @@
   std::string hello_;
   std::array<char, 16 * 1024> in_;
   bus::FrameReader reader_;
+  std::chrono::steady_clock::time_point frame_began_{};  // the one that has come in part, if one has
 };
 
 }  // namespace anisewick::links
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -258,3 +258,70 @@
 
 // ---- Discovery
 
+TEST_CASE("A watch that falls silent is opened again from the last number") {
+  Site site;
+  site.start();
+  site.tell(2, site.depots[0].record(), "lists=2 ");
+  const auto silent = Clock::now();
+  Stream old = std::move(site.bus);  // stays open, and says nothing more
+  site.reconnected();
+  CHECK(site.hello == big_endian(2, 8));
+  CHECK(Clock::now() - silent < std::chrono::seconds(4));  // a few frames that come each second
+  Depot drained = site.depots[1];
+  drained.state = 1;
+  site.tell(2, drained.record(), "lists=3 ");
+  for (int n = 0; n < 8; ++n) {
+    Stream client = site.client();
+    client.write(request(1, numbered(n)));
+    const Heard h = site.caches.next();
+    CHECK(h.depot == 0);
+    h.say("DONE", "remark=hit", "x");
+    CHECK(answer(client).body == "x");
+  }
+}
+
+TEST_CASE("A list that comes slowly in pieces is taken, and a frame that breaks off is not waited for") {
+  Site site("", true, false);
+  site.start();
+  std::string list;
+  for (const Depot& d : site.depots) list += d.record();
+  const std::string frame = site.event(1, list);
+  constexpr std::size_t kPieces = 7;  // over 2.4 s in all
+  for (std::size_t n = 0; n < kPieces; ++n) {
+    const std::size_t from = n * frame.size() / kPieces, to = (n + 1) * frame.size() / kPieces;
+    site.bus.write(frame.substr(from, to - from));
+    if (n + 1 < kPieces) pass(milliseconds(400));
+  }
+  Site::until(*site.program, "lists=1 ");
+  CHECK(site.health().has("Status: 200"));
+  site.bus.write(site.event(2, site.depots[0].record()).substr(0, 20));
+  site.reconnected();
+  CHECK(site.hello == big_endian(1, 8));
+}
+
+TEST_CASE("Idle clients that fill the descriptors keep neither discovery nor cache servers from being reached") {
+  Site site;
+  site.change("\"sockets\":1024", "\"sockets\":64");
+  rlimit usual{};
+  ::getrlimit(RLIMIT_NOFILE, &usual);
+  const rlimit few{64, usual.rlim_max};
+  ::setrlimit(RLIMIT_NOFILE, &few);
+  site.start();
+  ::setrlimit(RLIMIT_NOFILE, &usual);
+  std::vector<Stream> idle;
+  for (int n = 0; n < 100; ++n) idle.push_back(site.client());
+  site.bus.reset();
+  site.reconnected();
+  Depot drained = site.depots[0];
+  drained.state = 1;
+  site.tell(2, drained.record(), "lists=2 ");
+  Stream client = site.client();
+  client.write(request(1, numbered(1)));
+  const Heard h = site.caches.next();
+  CHECK(h.depot == 1);
+  h.say("DONE", "remark=hit", "x");
+  CHECK(answer(client).body == "x");
+}
+
+// ---- Cache servers
+
