Do not use a connection again on which an answer came that nothing asked for

Seen: a second answer some milliseconds after the first was dropped, and the next request went on the same connection. Such a peer's answers cannot be told from one another, so the connection now takes nothing new. An answer to a request that was given up is expected once and changes nothing. The test fails before.

--- a/src/links/depot_pool.cpp
+++ b/src/links/depot_pool.cpp
@@ -250,8 +250,10 @@
   void answered(depot::Answer& a) {
     const auto it = items_.find(a.id);
     if (it == items_.end() || !it->second.started) {
-      ++pool_.counters_.late_answers;  // given up before: dropped
-      std::erase(aborted_, a.id);
+      ++pool_.counters_.late_answers;
+      // Of a request that was given up one answer may still come. One that nothing asked for shows that this
+      // peer's answers cannot be trusted.
+      if (std::erase(aborted_, a.id) == 0) retire();
       return;
     }
     Reply reply;
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -325,3 +325,21 @@
 
 // ---- Cache servers
 
+TEST_CASE("A connection on which a second answer comes is not used again") {
+  Site site;
+  site.start();
+  Stream client = site.client();
+  client.write(request(1, numbered(1)));
+  const Heard first = site.caches.next();
+  first.say("DONE", "remark=hit", "one");
+  CHECK(answer(client).body == "one");
+  first.say("DONE", "remark=hit", "two");
+  Site::until(*site.program, "late_answers=1 ");
+  Ask again = numbered(1);
+  again.id = hex16(0x9999);
+  client.write(request(1, again));
+  const Heard second = site.caches.next();
+  CHECK((second.depot == first.depot && second.on != first.on));
+  second.say("DONE", "remark=hit", "three");
+  CHECK(answer(client).body == "three");
+}
