Tell a second answer from others that nothing asked for

Only a second answer to a request that was served on that connection retires it now: the ids served last are remembered (128, as for given up ones). The test stays as it was.

--- a/src/links/depot_pool.cpp
+++ b/src/links/depot_pool.cpp
@@ -11,7 +11,8 @@
 
 using Clock = std::chrono::steady_clock;
 
-constexpr std::size_t kMostAborted = 128;  // ids remembered per connection, whose late answers are dropped
+// Ids remembered per connection: of given up requests, whose late answers are dropped, and of served ones.
+constexpr std::size_t kMostRemembered = 128;
 constexpr auto kIdleMargin = std::chrono::seconds(2);
 constexpr auto kWatch = std::chrono::milliseconds(200);
 // Depots pause for up to 370 ms; an answer that stands still for longer will not be ended.
@@ -104,7 +105,7 @@
     if (unsent) {
       std::erase_if(queue_, [&](const Piece& p) { return p.id == id; });
     } else {
-      remember(id);
+      remember(aborted_, id);
       queue_.push_back({{}, depot::abort_bytes(id)});
       pump();
     }
@@ -159,7 +160,7 @@
     if (it == items_.end()) return;
     const Done done = std::move(it->second.done);
     // A second copy of this answer must not be taken for one to a later attempt.
-    if (reply.report.end != End::kServed) remember(id);
+    remember(reply.report.end == End::kServed ? served_ : aborted_, id);
     pool_.open_.erase(it->second.handle);
     items_.erase(it);
     done(std::move(reply));
@@ -198,9 +199,9 @@
     const auto n = ::recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
     return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
   }
-  void remember(const std::string& id) {
-    aborted_.push_back(id);
-    if (aborted_.size() > kMostAborted) aborted_.pop_front();
+  static void remember(std::deque<std::string>& ids, const std::string& id) {
+    ids.push_back(id);
+    if (ids.size() > kMostRemembered) ids.pop_front();
   }
   void close_if_done() {
     if (retired_ && items_.empty() && !(up_ && (writing_ || !queue_.empty()))) close();
@@ -251,9 +252,9 @@
     const auto it = items_.find(a.id);
     if (it == items_.end() || !it->second.started) {
       ++pool_.counters_.late_answers;
-      // Of a request that was given up one answer may still come. One that nothing asked for shows that this
-      // peer's answers cannot be trusted.
-      if (std::erase(aborted_, a.id) == 0) retire();
+      std::erase(aborted_, a.id);  // of a request that was given up one answer may still come
+      // A second answer to one that was served: what else comes here cannot be trusted.
+      if (std::find(served_.begin(), served_.end(), a.id) != served_.end()) retire();
       return;
     }
     Reply reply;
@@ -295,7 +296,7 @@
   std::deque<Piece> queue_;
   Piece now_;  // being written
   std::unordered_map<std::string, Item> items_;
-  std::deque<std::string> aborted_;
+  std::deque<std::string> aborted_, served_;
   Clock::time_point heard_{}, used_ = Clock::now();
   bool up_ = false, writing_ = false, closed_ = false, retired_ = false;
 };
