Make room for a waiting client by lists in order of use, and only once one waits

Three lists in order of use (ending, never asked, the others) give the one to go at once. The listening socket is waited on first, so room is made for somebody. The test fails before: the 32nd client to come drove out the first though no 33rd waited.

--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -8,7 +8,6 @@
 #include <cmath>
 #include <map>
 #include <string_view>
-#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -24,6 +23,7 @@
 constexpr std::size_t kMostUnwritten = 4u << 20;  // of one connection, before it is read no further
 constexpr auto kStall = seconds(10);  // a client that takes nothing for so long is gone or harmful
 constexpr auto kIdle = seconds(6);  // longer than the clients' own 4 s, so that those who behave close first
+constexpr seconds kNeverAsked{2};  // clients send what they have as soon as they are connected
 // A request that has come in part: the longest pause between two of its bytes, and the longest it may take in
 // all. Some clients write slowly, and a request that comes whole is owed an answer.
 constexpr auto kRequestPause = seconds(2);
@@ -127,7 +127,9 @@
       : front_(front),
         socket_(std::move(socket)),
         timer_(front.io_),
-        session_({.connections = front.limits_.connections}) {}
+        session_({.connections = front.limits_.connections}),
+        order_(&front.silent_),
+        place_(order_->insert(order_->end(), this)) {}
 
   void start() {
     without_delay(socket_);
@@ -170,6 +172,7 @@
     front_.held_ -= unwritten_ + assembling_;
     unwritten_ = assembling_ = 0;
     abandon();
+    order_->erase(place_);  // not in the destructor: the front may be gone by then
     front_.connections_.erase(shared_from_this());
     front_.last_ended_ = Clock::now();
   }
@@ -179,10 +182,6 @@
     if (phase_ == Phase::kHalfClosed) return true;
     return quiet() && (asked_ ? !session_.unfinished() : now - active_ > kSilent);
   }
-  // Those that are ending go first, then those that never asked for anything, then those idle for the longest.
-  std::tuple<bool, bool, Clock::time_point> worth() const {
-    return {phase_ != Phase::kHalfClosed, asked_, active_};
-  }
   void forget(std::uint16_t id) { tickets_.erase(id); }
   // Best right after an answer: the client can't have sent what that answer leads to.
   void finish_if_idle() {
@@ -206,6 +205,17 @@
   bool idle(Clock::time_point now) const {
     return quiet() && !session_.unfinished() && (asked_ || now - active_ > kSilent);
   }
+  // Something was read or written: of its kind it is the last to make room now.
+  void touch() {
+    active_ = Clock::now();
+    rank();
+  }
+  void rank() {
+    if (phase_ == Phase::kClosed) return;
+    Order* order = phase_ == Phase::kHalfClosed ? &front_.ending_ : asked_ ? &front_.used_ : &front_.silent_;
+    order->splice(order->end(), *order_, place_);
+    order_ = order;
+  }
   // The client has closed or aborted, though what it sent before may still be unread.
   bool left() {
     pollfd socket{socket_.native_handle(), POLLIN | POLLRDHUP, 0};
@@ -239,7 +249,7 @@
 
   void came(std::string_view bytes) {
     if (phase_ == Phase::kHalfClosed || spoilt_) return;  // not taken, and never sent on
-    active_ = Clock::now();
+    touch();
     std::vector<fastcgi::Event> events;
     std::string replies;
     const bool fine = session_.feed(bytes, events, replies);
@@ -344,7 +354,7 @@
                              [self = shared_from_this(), from](Error error, std::size_t n) {
                                if (self->phase_ == Phase::kClosed) return;
                                if (error) return self->close();
-                               self->active_ = Clock::now();
+                               self->touch();
                                self->unwritten_ -= n;
                                self->front_.held_ -= n;
                                if (from + n < self->out_.size()) return self->step(from + n);
@@ -370,7 +380,7 @@
     const auto still = now - active_;
     if (unwritten_ > 0 && still > kStall) return close();
     if (phase_ == Phase::kHalfClosed && now - phase_since_ > kLinger) return close();
-    if (phase_ == Phase::kOpen && idle(now) && still > kIdle) return half_close();
+    if (phase_ == Phase::kOpen && idle(now) && still > (asked_ ? kIdle : kNeverAsked)) return half_close();
     if (phase_ == Phase::kOpen && unfinished_ && (still > kRequestPause || now - since_ > kRequestTime))
       return finish();
     settle();
@@ -389,6 +399,7 @@
   void half_close() {
     phase_ = Phase::kHalfClosed;
     phase_since_ = Clock::now();
+    rank();
     Error ignored;
     socket_.shutdown(Tcp::socket::shutdown_send, ignored);
     read();
@@ -412,6 +423,8 @@
   bool reading_ = false, writing_ = false;
   fastcgi::Session session_;
   std::unordered_map<std::uint16_t, Ticket> tickets_;
+  Order* order_;  // that it is in, of the front's
+  Order::iterator place_;
 };
 
 Front::Front(asio::io_context& io, Calls& calls, Counters& counters, Limits limits)
@@ -438,43 +451,39 @@
   for (const auto& c : all) c->finish_if_idle();
 }
 
+// Room is made once somebody waits to be taken, and not before. What waits beyond it stays in the kernel's queue.
 void Front::accept() {
   if (!duty_.accept || waiting_ || !acceptor_.is_open()) return;
-  // As many connections as we want to hold: further ones wait in the kernel's queue until some are free.
-  if (connections_.size() >= limits_.connections && !make_room()) return accept_later();
   waiting_ = true;
-  acceptor_.async_accept([this](Error error, Tcp::socket socket) {
+  acceptor_.async_wait(Tcp::acceptor::wait_read, [this](Error error) {
     waiting_ = false;
-    if (!error) {  // ours, also when no more are wanted by now
-      adopt(std::move(socket));
-    } else if (error != asio::error::operation_aborted) {  // out of descriptors, say: not to spin on it
-      make_room();
-      return accept_later();
-    }
-    accept();
+    if (error || !acceptor_.is_open()) return accept();
+    if (connections_.size() >= limits_.connections && !make_room()) return accept_later();
+    if (take_one(error)) return accept();
+    if (error == asio::error::would_block || error == asio::error::try_again) return accept();
+    make_room();  // out of descriptors, say: not to spin on it
+    accept_later();
   });
 }
 
-void Front::adopt(Tcp::socket socket) {
+// False: none waits, or none can be had.
+bool Front::take_one(Error& error) {
+  Tcp::socket socket(io_);
+  acceptor_.non_blocking(true, error);
+  acceptor_.accept(socket, error);
+  if (error) return false;
   ++counters_.connections;
   auto connection = std::make_shared<Connection>(*this, std::move(socket));
   connections_.insert(connection);
   connection->start();
+  return true;
 }
 
 bool Front::stop_listening() {
   if (!acceptor_.is_open()) return true;
   Error error;
-  acceptor_.cancel(error);
-  acceptor_.non_blocking(true, error);
   bool none = true;
-  while (connections_.size() < limits_.connections) {
-    Tcp::socket socket(io_);
-    acceptor_.accept(socket, error);
-    if (error) break;
-    adopt(std::move(socket));
-    none = false;
-  }
+  while (connections_.size() < limits_.connections && take_one(error)) none = false;
   none = none && (error == asio::error::would_block || error == asio::error::try_again);
   if (none) close();
   return none;
@@ -482,12 +491,15 @@
 
 bool Front::make_room() {
   const auto now = Clock::now();
-  std::shared_ptr<Connection> least;
-  for (const auto& c : connections_) {
-    if ((least == nullptr || c->worth() < least->worth()) && c->spare(now)) least = c;
+  for (const Order* order : {&ending_, &silent_, &used_}) {
+    for (Connection* connection : *order) {
+      if (!connection->spare(now)) continue;
+      const auto kept = connection->shared_from_this();
+      kept->close();
+      return true;
+    }
   }
-  if (least != nullptr) least->close();
-  return least != nullptr;
+  return false;
 }
 
 void Front::accept_later() {
--- a/src/net/front.hpp
+++ b/src/net/front.hpp
@@ -3,6 +3,7 @@
 #define ANISEWICK_NET_FRONT_HPP_
 
 #include <cstddef>
+#include <list>
 #include <memory>
 #include <unordered_map>
 #include <unordered_set>
@@ -45,6 +46,8 @@
 
  private:
   class Connection;
+  // The one that was active longest ago first.
+  using Order = std::list<Connection*>;
   struct Open {
     std::shared_ptr<Connection> connection;
     std::uint16_t id = 0;
@@ -52,7 +55,7 @@
     bool keep = true;
   };
   void accept();
-  void adopt(Tcp::socket socket);
+  bool take_one(Error& error);
   bool make_room();  // closes the connection that is missed least, if there is one
   void accept_later();
 
@@ -68,6 +71,9 @@
   std::size_t held_ = 0;
   std::chrono::steady_clock::time_point last_ended_{};  // a connection
   std::unordered_map<Ticket, Open> open_;
+  // Connections by what they are worth when room is needed: those that are ending, those that never asked for
+  // anything, the others.
+  Order ending_, silent_, used_;
   std::unordered_set<std::shared_ptr<Connection>> connections_;
 };
 
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -323,6 +323,22 @@
   CHECK(answer(client).body == "x");
 }
 
+TEST_CASE("When all connections are taken, the client that has been idle the longest makes room") {
+  Site site;
+  site.change("\"sockets\":1024", "\"sockets\":64");  // 32 of them for clients
+  site.start();
+  std::vector<Stream> clients;
+  for (int n = 0; n < 32; ++n) clients.push_back(resting(site, n));
+  clients[0].write(request(1, numbered(100)));  // so that the second is the one that was idle the longest
+  site.caches.next().say("DONE", "remark=hit", "x");
+  CHECK(answer(clients[0]).body == "x");
+  Stream late = resting(site, 101);
+  CHECK(clients[1].ends());
+  for (std::size_t n = 0; n < clients.size(); ++n) {
+    if (n != 1) CHECK(!readable(clients[n].fd(), 0));
+  }
+}
+
 // ---- Cache servers
 
 TEST_CASE("A connection on which a second answer comes is not used again") {
