End the program before its folder is removed in the fixture of the daily tests

Seen once: daily_process_test ended with 'cannot remove: Directory not empty', since the fixture removed TMPDIR while the program still ran and wrote into it, and the test's own end left that program behind. The program goes first now. No check changed.

--- a/tests/daily.hpp
+++ b/tests/daily.hpp
@@ -67,6 +67,8 @@
 // A site whose program has a door, and whose listening socket is handed down.
 struct Daily : Site {
   Daily() : Site("", true, true, true) {}
+  // The program first: while it runs it writes into the folder, which could then not be removed.
+  ~Daily() { program.reset(); }
   Around around(int port) {
     return {{{"RELAY_OPS", "127.0.0.1:" + std::to_string(port)}, {"TMPDIR", folder.path}}, front_fd()};
   }
