Let what waits for a late connection go another way to the same cache server

A request bound to such a connection waited for it, though others to the same cache server were up, and the cache server was then counted as failing.

What waits looks every 30 ms for a connection that is up and takes it, and from 90 ms on has a further one opened, twice at most. What was not begun has not run, so nothing is sent twice. Two tests force it with a full accept queue; both fail before.

--- a/src/links/depot_pool.cpp
+++ b/src/links/depot_pool.cpp
@@ -18,6 +18,10 @@
 // Depots pause for up to 370 ms; an answer that stands still for longer will not be ended.
 constexpr auto kStuck = std::chrono::milliseconds(700);
 constexpr int kMostMoves = 2;
+// A connection within a centre is up in a few milliseconds. What waits for one that is not looks this often for
+// another way, and from the second time on has a further connection opened.
+constexpr auto kConnectLook = std::chrono::milliseconds(30);
+constexpr int kLooksBeforeFurther = 3;
 constexpr std::size_t kSpare = 8;  // connections beyond the limit, for depots that have none that will do
 
 DepotPool::Reply ended(End end) {
@@ -57,13 +61,7 @@
   void connect() {
     ++pool_.counters_.links;
     pool_.counters_.tally(depot_, Tally::kOpened);
-    // A refused connection and one that doesn't come up in time prove alike that nothing ran.
-    timer_.expires_after(pool_.limits_.connect_timeout);
-    timer_.async_wait([self = shared_from_this()](Error error) {
-      if (error || self->up_) return;
-      self->pool_.counters_.tally(self->depot_, Tally::kUnanswered);
-      self->fail();
-    });
+    wait_for_connection(Clock::now() + pool_.limits_.connect_timeout, 1);
     socket_.async_connect(to_, [self = shared_from_this()](Error error) {
       if (self->closed_) return;
       if (error) {
@@ -81,7 +79,23 @@
     });
   }
 
+  // A refused connection and one that doesn't come up in time prove alike that nothing ran. But a late one says
+  // little of its depot, and what waits for it has not been sent: it goes another way if there is one.
+  void wait_for_connection(Clock::time_point limit, int look) {
+    timer_.expires_at(std::min(limit, Clock::now() + kConnectLook));
+    timer_.async_wait([self = shared_from_this(), limit, look](Error error) {
+      if (error || self->up_ || self->closed_) return;
+      if (Clock::now() >= limit) {
+        self->pool_.counters_.tally(self->depot_, Tally::kUnanswered);
+        return self->fail();
+      }
+      self->move_waiting(look >= kLooksBeforeFurther);
+      if (!self->closed_) self->wait_for_connection(limit, look + 1);
+    });
+  }
+
   std::size_t load() const { return items_.size(); }
+  bool up() const { return up_; }
   bool takes(const std::string& id) const {
     // An id given up here may still be answered: its next attempt goes another way, so that the late answer
     // can't be taken for the new one.
@@ -113,6 +127,25 @@
     close_if_done();
     return unsent;
   }
+  // What waits here, to other connections to the same depot that are up; `further`: or to a new one.
+  void move_waiting(bool further) {
+    std::vector<std::string> ids;
+    for (const auto& [id, item] : items_) ids.push_back(id);
+    for (const std::string& id : ids) {
+      const auto it = items_.find(id);
+      const bool may_open = further && it->second.order.moved < kMostMoves;
+      const auto other = pool_.other_link(depot_, id, may_open);
+      if (other == nullptr) continue;
+      Item item = std::move(it->second);
+      items_.erase(it);
+      const auto piece = std::find_if(queue_.begin(), queue_.end(), [&](const Piece& p) { return p.id == id; });
+      item.order.bytes = std::move(piece->bytes);
+      queue_.erase(piece);
+      if (!other->up()) ++item.order.moved;
+      pool_.open_[item.handle] = {other, id};
+      other->send(item.handle, std::move(item.order), std::move(item.done));
+    }
+  }
   // Takes nothing new; ends when nothing is open.
   void retire() {
     retired_ = true;
@@ -353,6 +386,21 @@
   // share one.
   if (least != nullptr && (least->load() < limits_.share || links_ >= limits_.links)) return least;
   if (links_ >= limits_.links + kSpare) return nullptr;
+  return open_link(known);
+}
+
+std::shared_ptr<DepotPool::Link> DepotPool::other_link(depot::Id depot, const std::string& id, bool may_open) {
+  const auto it = depots_.find(depot);
+  if (it == depots_.end() || !ready(depot)) return nullptr;
+  std::shared_ptr<Link> least;
+  for (const auto& link : it->second.links) {
+    if (link->up() && (least == nullptr || link->load() < least->load()) && link->takes(id)) least = link;
+  }
+  if (least != nullptr || !may_open || links_ >= limits_.links + kSpare) return least;
+  return open_link(it->second);
+}
+
+std::shared_ptr<DepotPool::Link> DepotPool::open_link(Known& known) {
   auto link = std::make_shared<Link>(*this, known.depot);
   known.links.push_back(link);
   link->connect();
--- a/src/links/depot_pool.hpp
+++ b/src/links/depot_pool.hpp
@@ -33,7 +33,7 @@
     std::string id;  // the client's, by which the depot answers
     std::string bytes;
     bool tagged = false;  // it names the client's copy, so that copy may be the answer
-    int moved = 0;        // from connections that ended before it was sent
+    int moved = 0;        // from connections that ended, or did not come up, before it was sent
   };
   struct Reply {
     Report report;
@@ -73,6 +73,9 @@
   bool ready(depot::Id id) const;
   static void retire(const Known& known);
   std::shared_ptr<Link> link_for(Known& known, const std::string& id);
+  // One that is up and takes the request, else a new one if that is allowed and there is room for it.
+  std::shared_ptr<Link> other_link(depot::Id depot, const std::string& id, bool may_open);
+  std::shared_ptr<Link> open_link(Known& known);
   void dispatch(Handle handle, Order&& order, Done&& done);
 
   asio::io_context& io_;
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -5,6 +5,7 @@
 
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <optional>
 #include <set>
 #include <string>
 #include <thread>
@@ -341,6 +342,69 @@
 
 // ---- Cache servers
 
+namespace {
+
+// The only cache server of the centre, whose connections the test accepts when it likes.
+struct LateServer {
+  Listener listener;
+  explicit LateServer(Site& site) {
+    site.depots[0].port = listener.port();
+    site.list(site.depots[0].json() + "," + site.depots[2].json() + "," + site.depots[3].json());
+  }
+  // Its queue is full: a connection that is begun now does not come up.
+  Stream fill_queue() {
+    ::listen(listener.fd(), 0);
+    return Stream::to(listener.port());
+  }
+  static void answer_next(Stream& on, const Ask& ask, const std::string& body) {
+    const std::string line = on.line();
+    CHECK(line.starts_with("fetch " + ask.id + " "));
+    on.take(2);  // of its empty body
+    on.write(ask.id + " DONE remark=hit " + std::to_string(body.size()) + "\r\n" + body + "\r\n");
+  }
+};
+
+}  // namespace
+
+TEST_CASE("A request that waits for a late connection goes on one that is up") {
+  Site site;
+  LateServer server(site);
+  site.start();
+  Stream client = site.client();
+  client.write(request(1, numbered(1)));
+  Stream first = server.listener.accept();
+  LateServer::answer_next(first, numbered(1), "one");
+  CHECK(answer(client).body == "one");
+  const Stream filler = server.fill_queue();
+  client.write(request(2, numbered(2)));  // has the connection
+  const std::string line = first.line();
+  CHECK(line.starts_with("fetch " + numbered(2).id));
+  first.take(2);
+  client.write(request(3, numbered(3)));  // has one opened, which does not come up
+  LateServer::answer_next(first, numbered(3), "three");
+  CHECK(answer(client).body == "three");
+  first.write(numbered(2).id + " DONE remark=hit 3\r\ntwo\r\n");
+  CHECK(answer(client).body == "two");
+}
+
+TEST_CASE("A request that waits for a late connection goes on a further one that comes up") {
+  Site site;
+  LateServer server(site);
+  const Stream filler = server.fill_queue();
+  site.change("\"connect_timeout\":400000000", "\"connect_timeout\":9000000000");
+  site.start();
+  Stream client = site.client();
+  Ask ask = numbered(1, "book-slot");
+  client.write(request(1, ask));
+  Site::until(*site.program, "links=1;");  // it has been begun, and the system asks again a second later
+  server.listener.accept();                // the filler: there is room in the queue now
+  Stream second = server.listener.accept();
+  LateServer::answer_next(second, ask, "booked");
+  CHECK(answer(client).body == "booked");
+  CHECK(site.program->counters().find("links=2;") != std::string::npos);
+}
+
+
 TEST_CASE("A connection on which a second answer comes is not used again") {
   Site site;
   site.start();
