--- a/src/standin/crowd.cpp
+++ b/src/standin/crowd.cpp
@@ -18,6 +18,7 @@
 constexpr Time kMs = 1'000'000;
 constexpr std::int64_t kUnixAhead = 1'780'000'000'000, kStep = 5, kFault = 8'000, kLooked = 10'000;
 constexpr std::int64_t kGoodMs = 300, kPatienceMs = 1'500, kRampMs = 16'000, kToldLateMs = 2'000;
+constexpr double kClientKbPerMs = 10.5, kUsualKb = 40.0, kLeastKb = 20.0, kMostKb = 1'200.0;
 constexpr std::int64_t kHitMs = 3, kParentMs = 15, kOriginMs = 60, kRestMs = 3'000;
 constexpr double kWeakBears = 150.0, kCrowdedMs = 600.0;
 constexpr int kRemarkHit = 1, kRemarkFilled = 2, kRemarkByOrigin = 3;
@@ -72,6 +73,9 @@
     const double asked = static_cast<double>(std::max<std::uint64_t>(1, asked_));
     r_.good = static_cast<double>(good_) / asked;
     r_.refused = static_cast<double>(refused_) / asked;
+    r_.answered = static_cast<double>(answered_) / asked;
+    r_.largest_answered =
+        static_cast<double>(largest_answered_) / static_cast<double>(std::max<std::uint64_t>(1, largest_asked_));
     for (const auto& [why, n] : why_) r_.why.emplace_back(why, static_cast<double>(n) / asked);
     std::sort(r_.why.begin(), r_.why.end(), [](const auto& a, const auto& b) { return a.second > b.second; });
     return r_;
@@ -132,7 +136,7 @@
     if (o_.zone_counts_told) s.zone_fronts = {static_cast<int>(o_.doormen), 0};
     s.parent_kind = 1;
     s.origin_kind = 2;
-    s.client_kb_per_s = 10'500.0;
+    s.client_kb_per_s = 1'000.0 * kClientKbPerMs;
     s.joins = true;
     s.notes = Notes::kAll;
     s.scales = Scales::kNominal;
@@ -153,6 +157,16 @@
 
   // ---- Requests.
 
+  // From 0 to 1, evenly: the largest objects have the highest.
+  static double size_place(std::uint64_t object) {
+    return static_cast<double>(object * 0x9e3779b97f4a7c15ULL >> 11) * 0x1.0p-53;
+  }
+  static bool largest(std::uint64_t object) { return size_place(object) >= 0.9; }
+  double size_kb(std::uint64_t object) const {
+    const double place = size_place(object);
+    return o_.sizes_vary ? kLeastKb * std::pow(kMostKb / kLeastKb, place * place) : kUsualKb;
+  }
+
   void request(std::size_t i) {
     Doorman& d = doormen_[i];
     const std::uint64_t id = ++ids_;
@@ -163,10 +177,11 @@
     d.open[id] = open;
     ++r_.requests;
     asked_ += looked_at(now_);
+    largest_asked_ += looked_at(now_) && largest(open.object);
     Ask ask;
     ask.id = id;
     ask.object = open.object;
-    ask.size_kb = 40.0;
+    ask.size_kb = size_kb(open.object);
     ask.group = static_cast<int>(open.object % 2);
     ask.give_up_at = at() + kPatienceMs * kMs;
     act(i, id, d.facade->pick(at(), ask));
@@ -205,13 +220,15 @@
     const bool lost = o_.scene == Scene::kLost && now_ >= kFault && depot.answers % 50 == 0;
     if (lost) return later(until, End::kLate, 0, n);
     const std::int64_t from = std::max(now_, depot.stands_until);
-    std::int64_t ready = from + kHitMs;
+    const auto sending = static_cast<std::int64_t>((size_kb(open.object) - kUsualKb) / kClientKbPerMs);
+    const std::int64_t sent_after = kHitMs + std::max<std::int64_t>(0, sending);
+    std::int64_t ready = from + sent_after;
     int remark = kRemarkHit;
     if (!depot.held.contains(open.object)) {
       // What is to cost the origin nothing comes from a parent that holds it, or not at all.
       const bool parent = step.source && *step.source >= kParent && *step.source < kOrigin;
       const bool held = parent && depots_[o_.caches + (*step.source - kParent)].held.contains(open.object);
-      if (!step.source || (step.held_only && !held)) return later(ready, End::kLacks, 0, n);
+      if (!step.source || (step.held_only && !held)) return later(from + kHitMs, End::kLacks, 0, n);
       remark = kRemarkFilled;
       // Whoever asks for the same meanwhile waits for the same fill.
       auto [fill, first] = depot.filling.try_emplace(open.object);
@@ -219,7 +236,7 @@
         const auto [ms, by_origin] = fetch(*step.source, open.object);
         fill->second = {from + ms, by_origin};
       }
-      ready = std::max(ready, fill->second.until_ms);
+      ready = std::max(ready, fill->second.until_ms + sent_after - kHitMs);
       if (fill->second.by_origin) remark = kRemarkByOrigin;
     }
     const bool late = ready > until;
@@ -287,6 +304,8 @@
         continue;
       }
       good_ += looked_at(it->second.arrived) && now_ - it->second.arrived <= kGoodMs;
+      answered_ += looked_at(it->second.arrived);
+      largest_answered_ += looked_at(it->second.arrived) && largest(it->second.object);
       d.open.erase(it);
     }
   }
@@ -343,6 +362,7 @@
   std::uint64_t ids_ = 0, attempts_ = 0, order_ = 0;
   double origin_until_ = 0.0;
   std::uint64_t asked_ = 0, good_ = 0, refused_ = 0, origin_now_ = 0;
+  std::uint64_t answered_ = 0, largest_asked_ = 0, largest_answered_ = 0;
   std::map<std::string, std::uint64_t> why_;
   CrowdResult r_;
 };
--- a/src/standin/crowd.hpp
+++ b/src/standin/crowd.hpp
@@ -32,6 +32,7 @@
   double rate = 8.0;  // requests a second of one doorman
   std::size_t objects = 3'000;
   std::size_t replaced = 2;  // caches, of kTold and kUntold
+  bool sizes_vary = false;       // from 20 to 1,200 KB by object, and sending takes its time; else 40 KB
   bool zone_counts_told = true;  // false: the settings give the number of all instances only
 };
 struct CrowdResult {
@@ -40,6 +41,9 @@
   int most_attempts = 0;          // of one request
   // From the fault on, for ten seconds.
   double good = 0.0, refused = 0.0;  // shares of the requests: answered within 300 ms, turned away
+  // Shares of the requests, and of those for the tenth of the objects that is the largest, that were answered
+  // in time or late.
+  double answered = 0.0, largest_answered = 0.0;
   std::vector<std::pair<std::string, double>> why;  // of what was turned away, shares of the requests
   // Falls of replaced caches: those that got more than they bear, before the list told of them and after; and
   // the most that one got in a window after that, of what it bears then.
--- a/tests/crowd_test.cpp
+++ b/tests/crowd_test.cpp
@@ -81,6 +81,24 @@
   }
 }
 
+TEST_CASE("The largest requests get two thirds of what all get answered in quiet, and half in every trouble") {
+  for (std::size_t n = 0; n < standin::kScenes; ++n) {
+    const auto scene = static_cast<Scene>(n);
+    for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+      CrowdOptions o;
+      o.scene = scene;
+      o.seed = seed;
+      o.doormen = 30;
+      o.caches = 8;
+      o.sizes_vary = true;
+      const auto r = standin::crowd(o);
+      INFO(standin::word(scene) << ", seed " << seed << ": " << r.largest_answered << " of " << r.answered);
+      CHECK(r.answered > 0.5);
+      CHECK(r.largest_answered >= (scene == Scene::kQuiet ? 2.0 / 3.0 : 0.5) * r.answered);
+    }
+  }
+}
+
 TEST_CASE("Answers that get lost and caches that stand still cost their own requests, and few others") {
   const Sum lost = play(Scene::kLost, 8.0), pauses = play(Scene::kPauses, 8.0);
   CHECK(lost.good > 0.97);  // one in fifty has to be asked again
