--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -5,6 +5,7 @@
 
 #include <catch2/catch.hpp>
 #include <chrono>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -300,6 +301,70 @@
   CHECK(site.hello == big_endian(1, 8));
 }
 
+TEST_CASE("A request that waits for a connection leaves a cache server that drains") {
+  Site site;
+  Listener full;  // connections to the first cache server never come up
+  ::listen(full.fd(), 0);
+  const Stream filler = Stream::to(full.port());
+  site.depots[0].port = full.port();
+  std::string hosts;
+  for (const Depot& d : site.depots) hosts += (hosts.empty() ? "" : ",") + d.json();
+  site.list(hosts);
+  site.change("\"connect_timeout\":400000000", "\"connect_timeout\":9000000000");
+  site.start();
+  Stream client = site.client();
+  for (int n = 1;; ++n) {  // which of the two it goes to is by the object
+    REQUIRE(n < 40);
+    client.write(request(1, numbered(n, "book-slot")));
+    const auto h = site.caches.next(300);
+    if (!h) {
+      Depot drained = site.depots[0];
+      drained.state = 1;
+      site.tell(2, drained.record(), "lists=2 ");
+      const Heard moved = site.caches.next();
+      CHECK((moved.depot == 1 && moved.id == numbered(n).id));
+      moved.say("DONE", "-", "booked");
+      CHECK(answer(client).body == "booked");
+      break;
+    }
+    h->say("DONE", "-", "booked");
+    CHECK(answer(client).body == "booked");
+  }
+}
+
+TEST_CASE("Many programs that start at once with all their clients are ready within 10 s") {
+  Site site;  // its discovery takes no connection: the events known at the start must do
+  site.write();
+  constexpr std::size_t kPrograms = 20;
+  std::vector<Listener> ports;  // held for the programs
+  std::vector<std::unique_ptr<Program>> programs;
+  for (std::size_t n = 0; n < kPrograms; ++n) ports.emplace_back(false);
+  const auto started = Clock::now();
+  for (const Listener& port : ports) {
+    programs.push_back(std::make_unique<Program>(ANISEWICK_PROGRAM, site.path(),
+                                                 "127.0.0.1:" + std::to_string(port.port())));
+  }
+  std::size_t in_time = 0;
+  for (const Listener& port : ports) {
+    bool ready = false;
+    while (!ready && Clock::now() - started < std::chrono::seconds(30)) {
+      try {
+        Stream client = Stream::to(port.port());
+        Ask ask;
+        ask.path = "/_health";
+        ask.cls = "";
+        client.write(request(1, ask));
+        ready = answer(client).has("Status: 200");
+      } catch (const std::exception&) {  // it does not listen yet
+        pass(milliseconds(5));
+      }
+    }
+    CHECK(ready);
+    if (ready && Clock::now() - started < std::chrono::seconds(10)) ++in_time;
+  }
+  CHECK(10 * in_time >= 9 * kPrograms);
+}
+
 TEST_CASE("Idle clients that fill the descriptors keep neither discovery nor cache servers from being reached") {
   Site site;
   site.change("\"sockets\":1024", "\"sockets\":64");
