--- a/src/cachebox/settings.cpp
+++ b/src/cachebox/settings.cpp
@@ -37,14 +37,14 @@
 void classes(Reader& reader, const anisewick::settings::Depot& d, Settings& s) {
   const Tree* top = &reader.tree();
   if (d.classes_size() == 0)
-    reader.find(0, "names no class: write at least one, as classes { name: \"slot-page\" }");
+    reader.find(0, "names no class: write at least one, as classes { name: \"page\" }");
   std::set<std::string> names;
   for (int i = 0; i < d.classes_size(); ++i) {
     const auto& c = d.classes(i);
     const Tree* in = Reader::within(top, d, "classes", i);
     const int line = Reader::line_of(top, d, "classes", i);
     if (c.name().empty() || c.name().find_first_of(" ,=\r\n") != std::string::npos) {
-      reader.find(line, "a class has no name that can stand in a request: write a word, as slot-page");
+      reader.find(line, "a class has no name that can stand in a request: write a word, as page");
     } else if (!names.insert(c.name()).second) {
       reader.find(line, "the class " + c.name() + " is named twice: write it once");
     }
