--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -35,7 +35,7 @@
   double handshake_price = 0.0;      // of a connection opened, in worth of a request; 0: none is told
   std::uint64_t known_number = 0;    // of the last event in `known`
   std::vector<bus::Event> known;
-  std::vector<std::string> keys;     // the paths that the file has, in order, without what is in `known`
+  std::vector<std::string> keys;  // the paths that the file has, in order, without what is in `known`
 };
 
 // Says in one line what is wrong.
--- a/src/control.cpp
+++ b/src/control.cpp
@@ -26,16 +26,16 @@
 constexpr std::uint32_t kOne = 1024;        // a request's count, so that halving keeps the order
 constexpr std::uint32_t kLeast = kOne / 8;  // smaller counts are dropped after a halving
 constexpr std::size_t kMaxCounted = 16 * kTop;
-constexpr int kRankAdmitted = 2;           // design
-constexpr int kRankEarly = 1;               // of new objects where many fronts share a location
-constexpr double kSmooth = 0.2;            // weight of a new time to first byte or slowness sample
-constexpr double kFailSmooth = 0.15;       // weight of a new attempt in the failing share
-constexpr double kFailing = 0.3;           // a failing share that ejects
-constexpr double kSlow = 2.5;              // this many times the others' slowness ejects
-constexpr double kHandling = 0.05;         // seconds that an answer takes beyond its sending time
-constexpr double kUnclear = 0.5;           // weight of a failure that may be the cache's or the source's
-constexpr double kFairTime = 0.5;  // of the aim; a time-out of an attempt that had less says nothing
-constexpr int kMostErrors = 3;     // of one request, after which it is the request that cannot be served
+constexpr int kRankAdmitted = 2;      // design
+constexpr int kRankEarly = 1;         // of new objects where many fronts share a location
+constexpr double kSmooth = 0.2;       // weight of a new time to first byte or slowness sample
+constexpr double kFailSmooth = 0.15;  // weight of a new attempt in the failing share
+constexpr double kFailing = 0.3;      // a failing share that ejects
+constexpr double kSlow = 2.5;         // this many times the others' slowness ejects
+constexpr double kHandling = 0.05;    // seconds that an answer takes beyond its sending time
+constexpr double kUnclear = 0.5;      // weight of a failure that may be the cache's or the source's
+constexpr double kFairTime = 0.5;     // of the aim; a time-out of an attempt that had less says nothing
+constexpr int kMostErrors = 3;        // of one request, after which it is the request that cannot be served
 constexpr std::size_t kMaxServers = 4096;  // known ones, before the gone are forgotten
 constexpr Time kTrial = 500 * kMs;    // one attempt in this time finds out whether an ejected one recovered
 constexpr double kColdMargin = 0.7;   // share of a cold budget that is used
@@ -48,26 +48,26 @@
 constexpr Time kLimitPause = 300 * kMs;  // between two cuts
 constexpr double kLimitGrow = 0.6;       // of the work of each fill in time
 constexpr double kLateShare = 0.1;       // of fills; fewer late ones cut nothing
-constexpr double kLateSmooth = 0.06;  // weight of a fill in it: single late answers are no crowd
+constexpr double kLateSmooth = 0.06;     // weight of a fill in it: single late answers are no crowd
 constexpr double kLimitLeast = 2.0;      // requests of mean size, over the root of the location's fronts
-constexpr double kOriginMemory = 10.0;  // seconds over which what the origin gives is remembered
+constexpr double kOriginMemory = 10.0;   // seconds over which what the origin gives is remembered
 constexpr double kLateOrigin = 0.1, kLateMemory = 0.5;  // an answer's least weight in the late share; seconds
-constexpr double kLinksSmooth = 0.15;   // weight of an answer in that of the links
-constexpr double kWeak = 0.3;           // a late share that makes weak
-constexpr double kFirstGain = 1.0, kPurgeGain = 2.0;   // of the usual, once it is weak; after a group's purge
-constexpr double kLeastGain = 0.1, kMostGain = 32.0;    // above the most it is asked freely again
-constexpr double kGainCut = 0.5;      // when what was asked after the last cut is late too
+constexpr double kLinksSmooth = 0.15;                   // weight of an answer in that of the links
+constexpr double kWeak = 0.3;                           // a late share that makes weak
+constexpr double kFirstGain = 1.0, kPurgeGain = 2.0;  // of the usual, once it is weak; after a group's purge
+constexpr double kLeastGain = 0.1, kMostGain = 32.0;  // above the most it is asked freely again
+constexpr double kGainCut = 0.5;                      // when what was asked after the last cut is late too
 constexpr double kGainEach = 1.4;     // with each answer in time, or with as many as it gives in a second
 constexpr double kGainDoubles = 4.0;  // seconds
 constexpr double kMostTokens = 2.0, kTokensFor = 0.3;  // saved up: so many, or for so many seconds
-constexpr double kLeastUsual = 0.2;         // answers a second, of a front that has seen none
-constexpr Time kFreeAfter = 2 * kSecond;    // without one held back it is asked freely again
-constexpr Time kForgotten = 10 * kSecond;   // so long without an answer, late ones are forgotten
-constexpr double kClearly = 2.0;         // this many times the other parent's time to first byte is slower
+constexpr double kLeastUsual = 0.2;                    // answers a second, of a front that has seen none
+constexpr Time kFreeAfter = 2 * kSecond;               // without one held back it is asked freely again
+constexpr Time kForgotten = 10 * kSecond;              // so long without an answer, late ones are forgotten
+constexpr double kClearly = 2.0;  // this many times the other parent's time to first byte is slower
 // What a refused client is told to stay away, at most. On sockets an overloaded centre kept more the longer
 // it was: 0.83, 0.87, 0.87, 0.88 for 0, 250, 500, 1,000 ms. The simulator's overloaded days lose up to 0.05.
 constexpr Time kComeBack = kSecond;
-constexpr Time kAskAgain = kSecond;      // a failed call to discovery is repeated after this
+constexpr Time kAskAgain = kSecond;  // a failed call to discovery is repeated after this
 
 std::uint64_t mix(std::uint64_t x) {  // splitmix64
   x += 0x9e3779b97f4a7c15ULL;
@@ -274,9 +274,9 @@
   Time at = 0;
   double charged_source = 0.0;
   double work = 0.0;
-  bool fill = true;      // a miss may be filled
+  bool fill = true;        // a miss may be filled
   bool held_only = false;  // from what a parent holds, not by way of the origin
-  bool overdue = false;  // already counted as late
+  bool overdue = false;    // already counted as late
   bool open = true;
   bool may_have_run = true;
   bool unexplained = false;     // an error that may be the request's own fault
@@ -307,7 +307,7 @@
   std::map<std::uint64_t, Time> purged_objects;  // when each was purged
   std::map<int, Time> purged_groups;
   Throttle from_origin;
-  double links_late = 0.0;  // smoothed share of what parents held that came late
+  double links_late = 0.0;       // smoothed share of what parents held that came late
   double retries = kRetryStore;  // further attempts in hand: a crowd must not be answered with more load
   std::vector<std::pair<double, double>> class_work;  // per class: sum of sending times, requests
 
@@ -748,9 +748,9 @@
   // The limit of work out with a fill allowed: cut when fills come late or fail, grown while in time.
   void limit_fills(Time now, const Held& h, const Try& t, const Outcome& o) {
     const bool ok = o.status == Status::kOk;
-    const bool failed = o.note == Note::kOriginFailed ||
-                        (!ok && t.source->role == Role::kOrigin &&
-                         (o.note == Note::kSourceRefused || o.note == Note::kSourceFailed));
+    const bool failed =
+        o.note == Note::kOriginFailed || (!ok && t.source->role == Role::kOrigin &&
+                                          (o.note == Note::kSourceRefused || o.note == Note::kSourceFailed));
     if (failed || o.note == Note::kFilledByOrigin) {
       const bool gave = ok && now <= wanted_by(h);
       if (!t.overdue && (failed || gave || links_late < kWeak)) from_origin.ended(now, t.at, gave, draw());
@@ -820,9 +820,9 @@
       if (!no_fill && o.note != Note::kJoined && t.source != t.server) t.source->served(now, work);
       if (o.note != Note::kHit && o.note != Note::kStale && o.note != Note::kJoined && t.source != t.server) {
         add(t.source->sourced, false);
-        t.source->first_byte.add(o.first_byte > 0 ? static_cast<double>(o.first_byte) / kSecond
-                                                  : std::max(0.0, elapsed - work),
-                                 kSmooth);
+        t.source->first_byte.add(
+            o.first_byte > 0 ? static_cast<double>(o.first_byte) / kSecond : std::max(0.0, elapsed - work),
+            kSmooth);
       }
       if (no_fill || s.notes == Notes::kNone)
         t.server->asked.slowness.add(elapsed / (work + kHandling), kSmooth);
--- a/src/links/bus_client.cpp
+++ b/src/links/bus_client.cpp
@@ -13,8 +13,8 @@
 constexpr milliseconds kConnectLimit{200};
 constexpr milliseconds kPause{20};
 constexpr milliseconds kSilence{1600};  // something comes every second
-// A long list may come in pieces. One that is not whole by then has broken off, even if bytes come that seem to
-// belong to it.
+// A long list may come in pieces. One that is not whole by then has broken off, even if bytes come that seem
+// to belong to it.
 constexpr milliseconds kFrameLimit{4000};
 
 }  // namespace
--- a/src/links/counters.hpp
+++ b/src/links/counters.hpp
@@ -15,12 +15,12 @@
 // What went to one depot and came of it since the last report.
 struct Tally {
   enum What {
-    kAttempts,    // requests that the decisions sent there
-    kFills,       // requests elsewhere that named it as the source
-    kHits,        // answers from what it held
-    kFilled,      // other good answers, by way of the origin ones apart
+    kAttempts,  // requests that the decisions sent there
+    kFills,     // requests elsewhere that named it as the source
+    kHits,      // answers from what it held
+    kFilled,    // other good answers, by way of the origin ones apart
     kViaOrigin,
-    kJoined,      // good answers from a fill that was under way
+    kJoined,  // good answers from a fill that was under way
     kLacks,
     kFull,
     kBroke,
@@ -40,17 +40,18 @@
     kSrcLacks,
     kNoSlot,
     kOriginFailed,
-    kHeld,        // of the attempts: the source was to give only what it held
-    kBare,        // of the attempts: no fill was allowed
-    kLateHeld,    // of the late, likewise
+    kHeld,      // of the attempts: the source was to give only what it held
+    kBare,      // of the attempts: no fill was allowed
+    kLateHeld,  // of the late, likewise
     kLateBare,
     kWhats
   };
   static constexpr std::array<std::string_view, kWhats> kWords{
-      "attempts",   "fills",  "hits",      "filled",       "via_origin", "joined", "lacks",
-      "full",       "broke",  "late",      "unreached",    "reset",      "over",   "opened",  "refused",
-      "unanswered", "hit_ms", "filled_ms", "via_origin_ms", "waited_ms", "src_refused",
-      "src_broke",  "src_lacks", "no_slot", "origin_failed", "held",       "bare", "late_held", "late_bare"};
+      "attempts",      "fills",     "hits",        "filled",     "via_origin", "joined",
+      "lacks",         "full",      "broke",       "late",       "unreached",  "reset",
+      "over",          "opened",    "refused",     "unanswered", "hit_ms",     "filled_ms",
+      "via_origin_ms", "waited_ms", "src_refused", "src_broke",  "src_lacks",  "no_slot",
+      "origin_failed", "held",      "bare",        "late_held",  "late_bare"};
   static_assert(!kWords.back().empty(), "a word for each");
   std::array<std::uint32_t, kWhats> counts{};
 };
--- a/src/links/depot_pool.cpp
+++ b/src/links/depot_pool.cpp
@@ -18,8 +18,8 @@
 // Depots pause for up to 370 ms; an answer that stands still for longer will not be ended.
 constexpr auto kStuck = std::chrono::milliseconds(700);
 constexpr int kMostMoves = 2;
-// A connection within a centre is up in a few milliseconds. What waits for one that is not looks this often for
-// another way, and from the second time on has a further connection opened.
+// A connection within a centre is up in a few milliseconds. What waits for one that is not looks this often
+// for another way, and from the second time on has a further connection opened.
 constexpr auto kConnectLook = std::chrono::milliseconds(30);
 constexpr int kLooksBeforeFurther = 3;
 constexpr std::size_t kSpare = 8;  // connections beyond the limit, for depots that have none that will do
@@ -79,8 +79,8 @@
     });
   }
 
-  // A refused connection and one that doesn't come up in time prove alike that nothing ran. But a late one says
-  // little of its depot, and what waits for it has not been sent: it goes another way if there is one.
+  // A refused connection and one that doesn't come up in time prove alike that nothing ran. But a late one
+  // says little of its depot, and what waits for it has not been sent: it goes another way if there is one.
   void wait_for_connection(Clock::time_point limit, int look) {
     timer_.expires_at(std::min(limit, Clock::now() + kConnectLook));
     timer_.async_wait([self = shared_from_this(), limit, look](Error error) {
@@ -138,7 +138,8 @@
       if (other == nullptr) continue;
       Item item = std::move(it->second);
       items_.erase(it);
-      const auto piece = std::find_if(queue_.begin(), queue_.end(), [&](const Piece& p) { return p.id == id; });
+      const auto piece =
+          std::find_if(queue_.begin(), queue_.end(), [&](const Piece& p) { return p.id == id; });
       item.order.bytes = std::move(piece->bytes);
       queue_.erase(piece);
       if (!other->up()) ++item.order.moved;
@@ -389,7 +390,8 @@
   return open_link(known);
 }
 
-std::shared_ptr<DepotPool::Link> DepotPool::other_link(depot::Id depot, const std::string& id, bool may_open) {
+std::shared_ptr<DepotPool::Link> DepotPool::other_link(depot::Id depot, const std::string& id,
+                                                       bool may_open) {
   const auto it = depots_.find(depot);
   if (it == depots_.end() || !ready(depot)) return nullptr;
   std::shared_ptr<Link> least;
--- a/src/net/counters.hpp
+++ b/src/net/counters.hpp
@@ -26,14 +26,14 @@
 
 inline std::ostream& operator<<(std::ostream& out, const Counters& c) {
   out << "clients: connections=" << c.connections << " taken=" << c.taken << " left=" << c.left
-             << " malformed=" << c.malformed << " invalid=" << c.invalid << " turned_away=" << c.turned_away
-             << " health=" << c.health << "; answered: served=" << c.served << " same=" << c.same
-             << " refused=" << c.refused << " failed=" << c.failed << "; depots: sent=" << c.sent
-             << " done=" << c.done << " kept=" << c.kept << " lacks=" << c.lacks << " full=" << c.full
-             << " broke=" << c.broke << " over=" << c.over << " late=" << c.late
-             << " unreached=" << c.unreached << " reset=" << c.reset << " late_answers=" << c.late_answers
-             << " links=" << c.links << "; bus: lists=" << c.lists << " purges=" << c.purges
-             << " lost=" << c.bus_lost << " reloads=" << c.reloads << "; given up:";
+      << " malformed=" << c.malformed << " invalid=" << c.invalid << " turned_away=" << c.turned_away
+      << " health=" << c.health << "; answered: served=" << c.served << " same=" << c.same
+      << " refused=" << c.refused << " failed=" << c.failed << "; depots: sent=" << c.sent
+      << " done=" << c.done << " kept=" << c.kept << " lacks=" << c.lacks << " full=" << c.full
+      << " broke=" << c.broke << " over=" << c.over << " late=" << c.late << " unreached=" << c.unreached
+      << " reset=" << c.reset << " late_answers=" << c.late_answers << " links=" << c.links
+      << "; bus: lists=" << c.lists << " purges=" << c.purges << " lost=" << c.bus_lost
+      << " reloads=" << c.reloads << "; given up:";
   for (const auto& [why, n] : c.given_up) out << ' ' << why << '=' << n;
   return out;
 }
--- a/src/net/front.cpp
+++ b/src/net/front.cpp
@@ -23,7 +23,7 @@
 constexpr std::size_t kMostUnwritten = 4u << 20;  // of one connection, before it is read no further
 constexpr auto kStall = seconds(10);  // a client that takes nothing for so long is gone or harmful
 constexpr auto kIdle = seconds(6);  // longer than the clients' own 4 s, so that those who behave close first
-constexpr seconds kNeverAsked{2};  // clients send what they have as soon as they are connected
+constexpr seconds kNeverAsked{2};   // clients send what they have as soon as they are connected
 // A request that has come in part: the longest pause between two of its bytes, and the longest it may take in
 // all. Some clients write slowly, and a request that comes whole is owed an answer.
 constexpr auto kRequestPause = seconds(2);
@@ -451,7 +451,8 @@
   for (const auto& c : all) c->finish_if_idle();
 }
 
-// Room is made once somebody waits to be taken, and not before. What waits beyond it stays in the kernel's queue.
+// Room is made once somebody waits to be taken, and not before. What waits beyond it stays in the kernel's
+// queue.
 void Front::accept() {
   if (!duty_.accept || waiting_ || !acceptor_.is_open()) return;
   waiting_ = true;
--- a/src/net/reports.cpp
+++ b/src/net/reports.cpp
@@ -9,12 +9,10 @@
 namespace {
 
 constexpr std::pair<const char*, std::uint64_t Counters::*> kCounters[] = {
-    {"taken", &Counters::taken},   {"left", &Counters::left},
-    {"served", &Counters::served}, {"same", &Counters::same},
-    {"refused", &Counters::refused}, {"failed", &Counters::failed},
-    {"sent", &Counters::sent},     {"links", &Counters::links},
-    {"late_answers", &Counters::late_answers}, {"lists", &Counters::lists},
-    {"purges", &Counters::purges}, {"bus_lost", &Counters::bus_lost},
+    {"taken", &Counters::taken}, {"left", &Counters::left},       {"served", &Counters::served},
+    {"same", &Counters::same},   {"refused", &Counters::refused}, {"failed", &Counters::failed},
+    {"sent", &Counters::sent},   {"links", &Counters::links},     {"late_answers", &Counters::late_answers},
+    {"lists", &Counters::lists}, {"purges", &Counters::purges},   {"bus_lost", &Counters::bus_lost},
 };
 
 double cpu_ms() {
--- a/src/standin/crowd.cpp
+++ b/src/standin/crowd.cpp
@@ -74,8 +74,8 @@
     r_.good = static_cast<double>(good_) / asked;
     r_.refused = static_cast<double>(refused_) / asked;
     r_.answered = static_cast<double>(answered_) / asked;
-    r_.largest_answered =
-        static_cast<double>(largest_answered_) / static_cast<double>(std::max<std::uint64_t>(1, largest_asked_));
+    r_.largest_answered = static_cast<double>(largest_answered_) /
+                          static_cast<double>(std::max<std::uint64_t>(1, largest_asked_));
     for (const auto& [why, n] : why_) r_.why.emplace_back(why, static_cast<double>(n) / asked);
     std::sort(r_.why.begin(), r_.why.end(), [](const auto& a, const auto& b) { return a.second > b.second; });
     return r_;
--- a/src/standin/crowd.hpp
+++ b/src/standin/crowd.hpp
@@ -31,7 +31,7 @@
   std::size_t doormen = 100, caches = 24;
   double rate = 8.0;  // requests a second of one doorman
   std::size_t objects = 3'000;
-  std::size_t replaced = 2;  // caches, of kTold and kUntold
+  std::size_t replaced = 2;      // caches, of kTold and kUntold
   bool sizes_vary = false;       // from 20 to 1,200 KB by object, and sending takes its time; else 40 KB
   bool zone_counts_told = true;  // false: the settings give the number of all instances only
 };
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -1,6 +1,6 @@
 // Pairs of events that can cross, each forced into its bad order with real connections: the program is held
-// (SIGSTOP) while the other side acts, or a scripted peer waits for what it has seen. docs/design/crossings.md
-// lists the pairs and what must hold.
+// (SIGSTOP) while the other side acts, or a scripted peer waits for what it has seen.
+// docs/design/crossings.md lists the pairs and what must hold.
 #include <sys/socket.h>
 
 #include <catch2/catch.hpp>
@@ -69,7 +69,8 @@
     site.caches.next().say("DONE", "remark=hit", big);
   }
   Site::until(*site.program, "served=8 ");
-  client.write("GET / HTTP/1.1\r\n" + std::string(100'000, 'x'));  // ends the connection, with bytes behind it
+  client.write("GET / HTTP/1.1\r\n" +
+               std::string(100'000, 'x'));  // ends the connection, with bytes behind it
   std::set<int> ids;
   for (int n = 0; n < kRequests; ++n) {
     const Answer a = answer(client);
@@ -116,7 +117,8 @@
   half.write(bytes.substr(0, 40));
   constexpr std::size_t kPieces = 6;
   for (std::size_t n = 0; n < kPieces; ++n) {
-    slow.write(bytes.substr(n * bytes.size() / kPieces, (n + 1) * bytes.size() / kPieces - n * bytes.size() / kPieces));
+    slow.write(bytes.substr(n * bytes.size() / kPieces,
+                            (n + 1) * bytes.size() / kPieces - n * bytes.size() / kPieces));
     if (n + 1 < kPieces) pass(milliseconds(600));
   }
   site.caches.next().say("DONE", "remark=hit", "slow");
@@ -224,7 +226,8 @@
 
 TEST_CASE("A request that waits for a connection goes nowhere once its client has left") {
   Site site;
-  Listener full;  // its queue is full, and nobody accepts: connections to the first cache server never come up
+  Listener
+      full;  // its queue is full, and nobody accepts: connections to the first cache server never come up
   ::listen(full.fd(), 0);
   const Stream filler = Stream::to(full.port());
   site.depots[0].port = full.port();
@@ -365,7 +368,8 @@
   CHECK(10 * in_time >= 9 * kPrograms);
 }
 
-TEST_CASE("Idle clients that fill the descriptors keep neither discovery nor cache servers from being reached") {
+TEST_CASE(
+    "Idle clients that fill the descriptors keep neither discovery nor cache servers from being reached") {
   Site site;
   site.change("\"sockets\":1024", "\"sockets\":64");
   rlimit usual{};
@@ -469,7 +473,6 @@
   CHECK(site.program->counters().find("links=2;") != std::string::npos);
 }
 
-
 TEST_CASE("A connection on which a second answer comes is not used again") {
   Site site;
   site.start();
--- a/tests/crowd_test.cpp
+++ b/tests/crowd_test.cpp
@@ -81,7 +81,8 @@
   }
 }
 
-TEST_CASE("The largest requests get two thirds of what all get answered in quiet, and half in every trouble") {
+TEST_CASE(
+    "The largest requests get two thirds of what all get answered in quiet, and half in every trouble") {
   for (std::size_t n = 0; n < standin::kScenes; ++n) {
     const auto scene = static_cast<Scene>(n);
     for (std::uint64_t seed = 1; seed <= 3; ++seed) {
