Do not send a repeat that waited past the time in which it is known as one

Found by reading (docs/design/crossings.md): whether a guarded request may be repeated was checked when the decision was made. If the attempt then waited for a connection, up to the connect's time, it went out later, and a cache server that had forgotten the key would have run it a second time.

An attempt now carries the time from which it may not begin (the first that may have run, plus the key's time). Past it the wait ends at once, as unreached, and the connection never writes it. The test holds the program over that time while the connection comes up; it fails on the version before (the request was written).

--- a/include/anisewick/control.hpp
+++ b/include/anisewick/control.hpp
@@ -142,6 +142,7 @@
   int rank = 0;        // 0: pass through
   Time max_age = 0;    // 0: the class's fresh time
   Time until = 0;
+  Time begin_by = 0;       // not to be sent from then on: it would be no repeat any more; 0: no such bound
   bool join = false;       // a fill under way may be joined
   bool held_only = false;  // the source gives only what it holds
 };
--- a/src/control.cpp
+++ b/src/control.cpp
@@ -618,18 +618,26 @@
   // ---- Attempts. Rule 2: whether a further attempt, or a refusal, can do no harm.
   bool may_send(const Held& h, const Server& to, Time now) const {
     const ClassSettings& c = cls(h.r);
-    bool first = true;
+    if (const Time by = repeat_by(h); by != 0 && now >= by) return false;
     for (const Try& t : h.tries) {
       if (t.open && !s.second_copies) return false;
       if (c.repeat == Repeat::kSafe || (!t.open && !t.may_have_run)) continue;
       if (c.repeat == Repeat::kUnsafe) return false;
-      if (first && now - t.at >= c.key_ttl) return false;
-      first = false;
       if (c.key_scope == KeyScope::kZone && to.m.zone != t.server->m.zone) return false;
       if (c.key_scope == KeyScope::kCell && to.m.cell != t.server->m.cell) return false;
     }
     return true;
   }
+  // Until when it may be repeated: a key is remembered for so long from the first attempt that may have run.
+  // 0: no such bound. What waits for a connection must not go out later either.
+  Time repeat_by(const Held& h) const {
+    const ClassSettings& c = cls(h.r);
+    if (c.repeat != Repeat::kKeyed) return 0;
+    for (const Try& t : h.tries) {
+      if (t.open || t.may_have_run) return t.at + c.key_ttl;
+    }
+    return 0;
+  }
   bool may_refuse(const Held& h) const {
     const ClassSettings& c = cls(h.r);
     if (c.repeat == Repeat::kSafe || (c.repeat == Repeat::kKeyed && c.key_scope == KeyScope::kAll))
@@ -699,6 +707,7 @@
     const bool more = static_cast<int>(h.tries.size()) + 1 < c.max_attempts;
     const Time fair_end = now + static_cast<Time>(aim_of(h.r));
     a.until = more ? std::min(last, std::max({half, wanted_by(h), fair_end})) : last;
+    a.begin_by = repeat_by(h);
     t.server = server;
     t.source = source;
     t.at = now;
--- a/src/facade/facade.cpp
+++ b/src/facade/facade.cpp
@@ -77,6 +77,7 @@
   step.rank = a.rank;
   step.oldest = a.max_age;
   step.until = a.until;
+  step.begin_by = a.begin_by;
   step.join = a.join;
   step.held_only = a.held_only;
   return step;
--- a/src/facade/facade.hpp
+++ b/src/facade/facade.hpp
@@ -41,6 +41,7 @@
   int rank = 0;
   Time oldest = 0;  // 0: the class's fresh time
   Time until = 0;
+  Time begin_by = 0;  // not to be sent from then on; 0: no such bound
   bool join = false;
   bool held_only = false;
   // kRefuse: stay away for so long
--- a/src/links/depot_pool.cpp
+++ b/src/links/depot_pool.cpp
@@ -96,6 +96,10 @@
 
   std::size_t load() const { return items_.size(); }
   bool up() const { return up_; }
+  bool begun(const std::string& id) const {
+    const auto it = items_.find(id);
+    return it != items_.end() && it->second.started;
+  }
   bool takes(const std::string& id) const {
     // An id given up here may still be answered: its next attempt goes another way, so that the late answer
     // can't be taken for the new one.
@@ -246,8 +250,21 @@
   void look() {
     if (!queue_.empty() && pool_.look_) pool_.look_();
   }
+  // What has waited for too long to be a repeat is not written: it could run a second time.
+  void drop_late() {
+    while (!queue_.empty()) {
+      const auto it = items_.find(queue_.front().id);
+      if (it == items_.end() || it->second.order.begin_by == 0 || unix_now() < it->second.order.begin_by)
+        return;
+      queue_.pop_front();
+      pool_.fail_later(it->second.handle, std::move(it->second.done));
+      items_.erase(it);
+    }
+  }
   void pump() {
-    if (!up_ || writing_ || closed_ || queue_.empty()) return;
+    if (!up_ || writing_ || closed_) return;
+    drop_late();
+    if (queue_.empty()) return;
     writing_ = true;
     now_ = std::move(queue_.front());
     queue_.pop_front();
@@ -418,15 +435,23 @@
 void DepotPool::dispatch(Handle handle, Order&& order, Done&& done) {
   const auto it = depots_.find(order.depot);
   const auto link = it != depots_.end() && ready(order.depot) ? link_for(it->second, order.id) : nullptr;
+  if (link == nullptr) return fail_later(handle, std::move(done));
   open_[handle] = {link, order.id};
-  if (link != nullptr) {
-    return link->send(handle, std::move(order), std::move(done));
-  }
+  link->send(handle, std::move(order), std::move(done));
+}
+
+void DepotPool::fail_later(Handle handle, Done&& done) {
+  open_[handle] = {nullptr, {}};
   asio::post(io_, [this, handle, done = std::move(done)] {
     if (open_.erase(handle) > 0) done(ended(End::kUnreached));
   });
 }
 
+bool DepotPool::begun(Handle handle) const {
+  const auto it = open_.find(handle);
+  return it != open_.end() && it->second.link != nullptr && it->second.link->begun(it->second.id);
+}
+
 bool DepotPool::give_up(Handle handle) {
   const auto it = open_.find(handle);
   if (it == open_.end()) return false;
--- a/src/links/depot_pool.hpp
+++ b/src/links/depot_pool.hpp
@@ -32,8 +32,9 @@
     std::optional<depot::Id> source;
     std::string id;  // the client's, by which the depot answers
     std::string bytes;
-    bool tagged = false;  // it names the client's copy, so that copy may be the answer
-    int moved = 0;        // from connections that ended, or did not come up, before it was sent
+    bool tagged = false;        // it names the client's copy, so that copy may be the answer
+    std::int64_t begin_by = 0;  // Unix nanoseconds: not written from then on, but unreached; 0: no such bound
+    int moved = 0;              // from connections that ended, or did not come up, before it was sent
   };
   struct Reply {
     Report report;
@@ -56,6 +57,7 @@
   void heed(const bus::Event& event);
   // `done` is called once, later and never from within this call, unless the order is given up first.
   Handle send(Order order, Done done);
+  bool begun(Handle handle) const;  // some of it may have gone out
   // True: it had not been sent, which proves that it never ran.
   bool give_up(Handle handle);
   void close();
@@ -77,6 +79,8 @@
   std::shared_ptr<Link> other_link(depot::Id depot, const std::string& id, bool may_open);
   std::shared_ptr<Link> open_link(Known& known);
   void dispatch(Handle handle, Order&& order, Done&& done);
+  // Ends it as unreached, but not from within this call.
+  void fail_later(Handle handle, Done&& done);
 
   asio::io_context& io_;
   Counters& counters_;
--- a/src/net/doorman.cpp
+++ b/src/net/doorman.cpp
@@ -160,12 +160,24 @@
   counters_.tally(step.depot, Tally::kAttempts);
   if (open.held_only || open.bare) counters_.tally(step.depot, open.bare ? Tally::kBare : Tally::kHeld);
   if (step.source) counters_.tally(*step.source, Tally::kFills);
-  open.sent = depots_.send({step.depot, step.source, call.id, depot::fetch_bytes(fetch), !call.tag.empty()},
+  DepotPool::Order order{step.depot, step.source, call.id, depot::fetch_bytes(fetch), !call.tag.empty()};
+  order.begin_by = step.begin_by;
+  open.sent = depots_.send(std::move(order),
                            [this, ticket](DepotPool::Reply&& reply) { ended(ticket, std::move(reply)); });
-  open.timer.expires_after(std::chrono::nanoseconds(std::max<std::int64_t>(0, step.until - now)));
-  open.timer.async_wait([this, ticket, sent = open.sent](Error error) {
+  open.until = step.until;
+  wait_for_end(ticket, open, step.begin_by > 0 ? std::min(step.begin_by, step.until) : step.until);
+}
+
+// Looks at the attempt again at that time: one that may not begin any more has its end then, and every other
+// when its time is over.
+void Doorman::wait_for_end(Ticket ticket, Open& open, std::int64_t look_at) {
+  open.timer.expires_after(std::chrono::nanoseconds(std::max<std::int64_t>(0, look_at - unix_now())));
+  open.timer.async_wait([this, ticket, look_at, sent = open.sent](Error error) {
     const auto it = open_.find(ticket);
-    if (!error && it != open_.end() && it->second->sent == sent) too_late(ticket);
+    if (error || it == open_.end() || it->second->sent != sent) return;
+    if (look_at < it->second->until && depots_.begun(sent))
+      return wait_for_end(ticket, *it->second, it->second->until);
+    too_late(ticket);
   });
 }
 
--- a/src/net/doorman.hpp
+++ b/src/net/doorman.hpp
@@ -65,9 +65,11 @@
     std::int64_t sent_at = 0;
     bool held_only = false, bare = false;  // what it asked of its source; bare: nothing
     asio::steady_timer timer;              // of the attempt
+    std::int64_t until = 0;                // its time is over then, Unix nanoseconds
   };
   void act(Ticket ticket, const Step& step);
   void send(Ticket ticket, Open& open, const Step& step);
+  void wait_for_end(Ticket ticket, Open& open, std::int64_t look_at);
   void ended(Ticket ticket, DepotPool::Reply&& reply);
   void tally(const Open& open, const Report& report, Tally::What what);
   void too_late(Ticket ticket);
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -473,6 +473,46 @@
   CHECK(site.program->counters().find("links=2;") != std::string::npos);
 }
 
+TEST_CASE("A repeat that waits for its connection past the time in which it is known as one is not sent") {
+  Site site;
+  Listener full;  // connections to the first cache server do not come up
+  ::listen(full.fd(), 0);
+  const Stream filler = Stream::to(full.port());
+  site.depots[0].port = full.port();
+  std::string hosts;
+  for (const Depot& d : site.depots) hosts += (hosts.empty() ? "" : ",") + d.json();
+  site.list(hosts);
+  site.change("\"connect_timeout\":400000000", "\"connect_timeout\":9000000000");
+  site.change("\"repeat\":\"single_shot\"",
+              "\"repeat\":\"guarded\",\"key_scope\":\"all\",\"key_ttl\":700000000");
+  site.start();
+  Stream client = site.client();
+  bool repeated = false;
+  for (int n = 1; n < 40 && !repeated; ++n) {  // which of the two it goes to first is by the object
+    client.write(request(1, numbered(n, "book-slot")));
+    const auto h = site.caches.next(300);
+    if (!h) {  // it waits at the first; its client gives it up, so that the next one can be asked
+      client.write(record(2, 1, ""));
+      CHECK(answer(client).head.empty());
+      continue;
+    }
+    const auto broke = Clock::now();
+    h->say("BROKE");  // it may have run: what follows is a repeat, at the other
+    pass(milliseconds(500));
+    site.program->stop();
+    full.accept();  // the connection can come up from now on
+    until(broke + milliseconds(1'500));
+    site.program->signal(SIGCONT);
+    CHECK(answer(client).head.find("Status: 5") == 0);
+    while (readable(full.fd(), 1'200)) {  // what came up is taken, and says nothing of it
+      Stream late = full.accept();
+      CHECK(!late.more(300));
+    }
+    repeated = true;
+  }
+  CHECK(repeated);
+}
+
 TEST_CASE("A connection on which a second answer comes is not used again") {
   Site site;
   site.start();
