--- a/src/cachebox/box.cpp
+++ b/src/cachebox/box.cpp
@@ -562,19 +562,20 @@
   }
   if (fill.candidate) fetch.seen = fill.candidate->about.tag;
   ++counters_.fill_tries;
-  fill.handle = pool_.send({fill.source, fetch.from, own, depot::fetch_bytes(fetch), !fetch.seen.empty()},
-                           [this, id](links::DepotPool::Reply&& reply) { fill_ended(id, std::move(reply)); });
+  fill.handle =
+      pool_.send({fill.source, fetch.from, own, depot::fetch_bytes(fetch), !fetch.seen.empty()},
+                 [this, id](links::UpstreamPool::Reply&& reply) { fill_ended(id, std::move(reply)); });
   fill.timer.expires_after(std::chrono::milliseconds(time));
   fill.timer.async_wait([this, id, handle = fill.handle](Error error) {
     const auto it = fills_.find(id);
     if (error || it == fills_.end() || it->second->handle != handle) return;
-    links::DepotPool::Reply reply;
+    links::UpstreamPool::Reply reply;
     reply.report.end = pool_.give_up(handle) ? End::kUnreached : End::kLate;
     fill_ended(id, std::move(reply));
   });
 }
 
-void Box::fill_ended(std::uint64_t id, links::DepotPool::Reply&& reply) {
+void Box::fill_ended(std::uint64_t id, links::UpstreamPool::Reply&& reply) {
   const auto it = fills_.find(id);
   if (it == fills_.end()) return;
   FillUnder& fill = *it->second;
--- a/src/cachebox/box.hpp
+++ b/src/cachebox/box.hpp
@@ -19,8 +19,8 @@
 #include "cachebox/peer.hpp"
 #include "cachebox/settings.hpp"
 #include "disk/store.hpp"
-#include "links/bus_client.hpp"
-#include "links/depot_pool.hpp"
+#include "links/discovery_client.hpp"
+#include "links/upstream_pool.hpp"
 #include "logs/logs.hpp"
 #include "purges/continuity.hpp"
 #include "serving/serving.hpp"
@@ -83,7 +83,7 @@
     std::int64_t sent_ms = 0, began_ms = 0;
     int rank = 0;
     bool keep = true;
-    links::DepotPool::Handle handle = 0;  // 0: no try is out
+    links::UpstreamPool::Handle handle = 0;  // 0: no try is out
     depot::Id source = 0;
   };
   // Fills of one part, for those who may join.
@@ -98,7 +98,7 @@
   std::uint64_t begin_fill(const depot::Request& request, std::size_t cls,
                            std::optional<copies::Copy> candidate, std::int64_t until_ms);
   void try_fill(std::uint64_t id);
-  void fill_ended(std::uint64_t id, links::DepotPool::Reply&& reply);
+  void fill_ended(std::uint64_t id, links::UpstreamPool::Reply&& reply);
   void fill_next(std::uint64_t id, const serving::Fill::Next& next);
   void fill_good(std::uint64_t id, copies::Copy copy, int remark);
   void fill_over(std::uint64_t id, const serving::Refusal& refusal, copies::Bytes bytes, bool served);
@@ -125,14 +125,14 @@
   const Settings settings_;
   logs::Log& log_;
   Counters counters_;
-  links::DepotPool pool_;
+  links::UpstreamPool pool_;
   serving::Pacer pacer_;
   shelf::Shelf shelf_;
   std::unique_ptr<admission::Keeper> keeper_;
   std::unique_ptr<disk::Workers> workers_;
   std::unique_ptr<disk::Store> store_;
   bool disk_opened_ = false;
-  links::BusClient bus_;
+  links::DiscoveryClient bus_;
   purges::Continuity continuity_;
   bool whole_list_ = false;  // heard in this life
   struct Known {
--- a/src/cachebox/settings.hpp
+++ b/src/cachebox/settings.hpp
@@ -11,7 +11,7 @@
 #include "depot/depot.hpp"
 #include "disk/store.hpp"
 #include "links/asio.hpp"
-#include "links/depot_pool.hpp"
+#include "links/upstream_pool.hpp"
 #include "logs/logs.hpp"
 #include "serving/serving.hpp"
 #include "settings/settings.hpp"
@@ -35,7 +35,7 @@
   };
   std::optional<Disk> disk;
   serving::FillLimits fills;
-  links::DepotPool::Limits pool;
+  links::UpstreamPool::Limits pool;
   std::size_t connections = 512, streams = 100, requests = 4096;
   std::size_t unread_bytes = 4 << 20;
   std::int64_t unread_ms = 5000, idle_ms = 30'000, partial_ms = 2000;
--- a/src/links/bus_client.cpp
+++ b/src/links/discovery_client.cpp
@@ -1,4 +1,4 @@
-#include "links/bus_client.hpp"
+#include "links/discovery_client.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -19,14 +19,14 @@
 
 }  // namespace
 
-BusClient::BusClient(asio::io_context& io, Counters& counters, const Tcp::endpoint& at, std::uint64_t last,
-                     Heed heed)
+DiscoveryClient::DiscoveryClient(asio::io_context& io, Counters& counters, const Tcp::endpoint& at,
+                                 std::uint64_t last, Heed heed)
     : counters_(counters), at_(at), last_(last), heed_(std::move(heed)), socket_(io), timer_(io) {}
 
-BusClient::BusClient(asio::io_context& io, Counters& counters, const Tcp::endpoint& at, Raw raw)
+DiscoveryClient::DiscoveryClient(asio::io_context& io, Counters& counters, const Tcp::endpoint& at, Raw raw)
     : counters_(counters), at_(at), last_(0), raw_(std::move(raw)), socket_(io), timer_(io) {}
 
-void BusClient::connect() {
+void DiscoveryClient::connect() {
   if (closed_) return;
   const unsigned turn = ++turn_;
   reader_ = bus::FrameReader{};
@@ -49,7 +49,7 @@
   });
 }
 
-void BusClient::read() {
+void DiscoveryClient::read() {
   socket_.async_read_some(asio::buffer(in_), [this, turn = turn_](Error error, std::size_t n) {
     if (turn != turn_ || closed_) return;
     if (error) return again();
@@ -64,7 +64,7 @@
   });
 }
 
-void BusClient::heed(const std::vector<bus::Event>& events) {
+void DiscoveryClient::heed(const std::vector<bus::Event>& events) {
   for (const bus::Event& event : events) {
     if (raw_.heed) {
       raw_.heed(event);
@@ -77,21 +77,21 @@
   }
 }
 
-void BusClient::move(const Tcp::endpoint& at, const std::vector<bus::Event>& known) {
+void DiscoveryClient::move(const Tcp::endpoint& at, const std::vector<bus::Event>& known) {
   if (closed_) return;
   heed(known);
   at_ = at;
   connect();
 }
 
-void BusClient::watch(milliseconds limit) {
+void DiscoveryClient::watch(milliseconds limit) {
   timer_.expires_after(limit);
   timer_.async_wait([this, turn = turn_](Error error) {
     if (!error && turn == turn_ && !closed_) again();
   });
 }
 
-void BusClient::again() {
+void DiscoveryClient::again() {
   ++counters_.bus_lost;
   if (raw_.lost) raw_.lost();
   ++turn_;
@@ -103,7 +103,7 @@
   });
 }
 
-void BusClient::close() {
+void DiscoveryClient::close() {
   closed_ = true;
   Error ignored;
   timer_.cancel();
--- a/src/links/bus_client.hpp
+++ b/src/links/discovery_client.hpp
@@ -1,6 +1,6 @@
-// The connection to the event bus, made again from the last number whenever it is lost.
-#ifndef ANISEWICK_LINKS_BUS_CLIENT_HPP_
-#define ANISEWICK_LINKS_BUS_CLIENT_HPP_
+// The watch on discovery ("event bus" on the wire), opened again from the last number whenever it is lost.
+#ifndef ANISEWICK_LINKS_DISCOVERY_CLIENT_HPP_
+#define ANISEWICK_LINKS_DISCOVERY_CLIENT_HPP_
 
 #include <array>
 #include <functional>
@@ -13,10 +13,11 @@
 
 namespace anisewick::links {
 
-class BusClient {
+class DiscoveryClient {
  public:
   using Heed = std::function<void(const bus::Event&)>;
-  BusClient(asio::io_context& io, Counters& counters, const Tcp::endpoint& at, std::uint64_t last, Heed heed);
+  DiscoveryClient(asio::io_context& io, Counters& counters, const Tcp::endpoint& at, std::uint64_t last,
+                  Heed heed);
   // For who judges the numbers itself: `hello` says from where to ask at each connection, `heed` gets every
   // frame as it came, also empty ones and ones heard before, and `lost` is called when the connection ends.
   struct Raw {
@@ -24,7 +25,7 @@
     Heed heed;
     std::function<void()> lost;
   };
-  BusClient(asio::io_context& io, Counters& counters, const Tcp::endpoint& at, Raw raw);
+  DiscoveryClient(asio::io_context& io, Counters& counters, const Tcp::endpoint& at, Raw raw);
   void start() { connect(); }
   // `up` is called at each connection, once it has been asked for what follows.
   void when_up(std::function<void()> up) { up_ = std::move(up); }
@@ -57,4 +58,4 @@
 
 }  // namespace anisewick::links
 
-#endif  // ANISEWICK_LINKS_BUS_CLIENT_HPP_
+#endif  // ANISEWICK_LINKS_DISCOVERY_CLIENT_HPP_
--- a/src/links/depot_pool.cpp
+++ b/src/links/upstream_pool.cpp
@@ -1,4 +1,4 @@
-#include "links/depot_pool.hpp"
+#include "links/upstream_pool.hpp"
 
 #include <algorithm>
 #include <array>
@@ -24,8 +24,8 @@
 constexpr int kLooksBeforeFurther = 3;
 constexpr std::size_t kSpare = 8;  // connections beyond the limit, for depots that have none that will do
 
-DepotPool::Reply ended(End end) {
-  DepotPool::Reply reply;
+UpstreamPool::Reply ended(End end) {
+  UpstreamPool::Reply reply;
   reply.report.end = end;
   return reply;
 }
@@ -50,9 +50,9 @@
 }  // namespace
 
 // One connection. Writes its requests in order, one at a time, and knows of each whether any of it went out.
-class DepotPool::Link : public std::enable_shared_from_this<Link> {
+class UpstreamPool::Link : public std::enable_shared_from_this<Link> {
  public:
-  Link(DepotPool& pool, const bus::Depot& depot)
+  Link(UpstreamPool& pool, const bus::Depot& depot)
       : pool_(pool), depot_(depot.id), socket_(pool.io_), timer_(pool.io_) {
     to_ = endpoint_of(depot.address, depot.port);
     ++pool_.links_;
@@ -337,7 +337,7 @@
     });
   }
 
-  DepotPool& pool_;
+  UpstreamPool& pool_;
   const depot::Id depot_;
   Tcp::endpoint to_;
   Tcp::socket socket_;
@@ -352,16 +352,16 @@
   bool up_ = false, writing_ = false, closed_ = false, retired_ = false;
 };
 
-DepotPool::DepotPool(asio::io_context& io, Counters& counters, Limits limits)
+UpstreamPool::UpstreamPool(asio::io_context& io, Counters& counters, Limits limits)
     : io_(io), counters_(counters), limits_(limits) {}
-DepotPool::~DepotPool() = default;
+UpstreamPool::~UpstreamPool() = default;
 
-bool DepotPool::ready(depot::Id id) const {
+bool UpstreamPool::ready(depot::Id id) const {
   const auto it = depots_.find(id);
   return it != depots_.end() && it->second.depot.state == bus::State::kReady;
 }
 
-void DepotPool::heed(const bus::Event& event) {
+void UpstreamPool::heed(const bus::Event& event) {
   using Kind = bus::Event::Kind;
   if (event.kind != Kind::kWholeList && event.kind != Kind::kChanges) return;
   if (event.kind == Kind::kWholeList) {
@@ -389,12 +389,12 @@
   });
 }
 
-void DepotPool::retire(const Known& known) {
+void UpstreamPool::retire(const Known& known) {
   const auto links = known.links;  // a copy: a link that retires may leave the list
   for (const auto& link : links) link->retire();
 }
 
-std::shared_ptr<DepotPool::Link> DepotPool::link_for(Known& known, const std::string& id) {
+std::shared_ptr<UpstreamPool::Link> UpstreamPool::link_for(Known& known, const std::string& id) {
   // One request a connection, where there are enough: what spoils or ends a connection then spoils no other.
   std::shared_ptr<Link> least;
   for (const auto& link : known.links) {
@@ -407,8 +407,8 @@
   return open_link(known);
 }
 
-std::shared_ptr<DepotPool::Link> DepotPool::other_link(depot::Id depot, const std::string& id,
-                                                       bool may_open) {
+std::shared_ptr<UpstreamPool::Link> UpstreamPool::other_link(depot::Id depot, const std::string& id,
+                                                             bool may_open) {
   const auto it = depots_.find(depot);
   if (it == depots_.end() || !ready(depot)) return nullptr;
   std::shared_ptr<Link> least;
@@ -419,20 +419,20 @@
   return open_link(it->second);
 }
 
-std::shared_ptr<DepotPool::Link> DepotPool::open_link(Known& known) {
+std::shared_ptr<UpstreamPool::Link> UpstreamPool::open_link(Known& known) {
   auto link = std::make_shared<Link>(*this, known.depot);
   known.links.push_back(link);
   link->connect();
   return link;
 }
 
-DepotPool::Handle DepotPool::send(Order order, Done done) {
+UpstreamPool::Handle UpstreamPool::send(Order order, Done done) {
   const Handle handle = next_++;
   dispatch(handle, std::move(order), std::move(done));
   return handle;
 }
 
-void DepotPool::dispatch(Handle handle, Order&& order, Done&& done) {
+void UpstreamPool::dispatch(Handle handle, Order&& order, Done&& done) {
   const auto it = depots_.find(order.depot);
   const auto link = it != depots_.end() && ready(order.depot) ? link_for(it->second, order.id) : nullptr;
   if (link == nullptr) return fail_later(handle, std::move(done));
@@ -440,19 +440,19 @@
   link->send(handle, std::move(order), std::move(done));
 }
 
-void DepotPool::fail_later(Handle handle, Done&& done) {
+void UpstreamPool::fail_later(Handle handle, Done&& done) {
   open_[handle] = {nullptr, {}};
   asio::post(io_, [this, handle, done = std::move(done)] {
     if (open_.erase(handle) > 0) done(ended(End::kUnreached));
   });
 }
 
-bool DepotPool::begun(Handle handle) const {
+bool UpstreamPool::begun(Handle handle) const {
   const auto it = open_.find(handle);
   return it != open_.end() && it->second.link != nullptr && it->second.link->begun(it->second.id);
 }
 
-bool DepotPool::give_up(Handle handle) {
+bool UpstreamPool::give_up(Handle handle) {
   const auto it = open_.find(handle);
   if (it == open_.end()) return false;
   const Open open = std::move(it->second);
@@ -460,7 +460,7 @@
   return open.link == nullptr || open.link->give_up(open.id);
 }
 
-void DepotPool::close() {
+void UpstreamPool::close() {
   for (auto& [id, known] : depots_) {
     const auto links = known.links;
     for (const auto& link : links) link->close();
--- a/src/links/depot_pool.hpp
+++ b/src/links/upstream_pool.hpp
@@ -1,6 +1,7 @@
-// Connections to depots: requests go out, answers come back, each request ends exactly once.
-#ifndef ANISEWICK_LINKS_DEPOT_POOL_HPP_
-#define ANISEWICK_LINKS_DEPOT_POOL_HPP_
+// Connections to cache servers ("depots" on the wire): requests go out, answers come back, each request ends
+// exactly once.
+#ifndef ANISEWICK_LINKS_UPSTREAM_POOL_HPP_
+#define ANISEWICK_LINKS_UPSTREAM_POOL_HPP_
 
 #include <cstdint>
 #include <functional>
@@ -18,7 +19,7 @@
 
 namespace anisewick::links {
 
-class DepotPool {
+class UpstreamPool {
  public:
   struct Limits {
     std::chrono::nanoseconds connect_timeout{400'000'000};
@@ -47,8 +48,8 @@
   using Done = std::function<void(Reply&&)>;
   using Handle = std::uint64_t;
 
-  DepotPool(asio::io_context& io, Counters& counters, Limits limits);
-  ~DepotPool();
+  UpstreamPool(asio::io_context& io, Counters& counters, Limits limits);
+  ~UpstreamPool();
 
   // Called before what has waited is written: it may not go any more, and `heed` then recalls it.
   void looks_by(std::function<void()> look) { look_ = std::move(look); }
@@ -94,4 +95,4 @@
 
 }  // namespace anisewick::links
 
-#endif  // ANISEWICK_LINKS_DEPOT_POOL_HPP_
+#endif  // ANISEWICK_LINKS_UPSTREAM_POOL_HPP_
--- a/src/net/asio.hpp
+++ b/src/net/asio.hpp
@@ -3,19 +3,19 @@
 #define ANISEWICK_NET_ASIO_HPP_
 
 #include "links/asio.hpp"
-#include "links/bus_client.hpp"
-#include "links/depot_pool.hpp"
+#include "links/discovery_client.hpp"
+#include "links/upstream_pool.hpp"
 
 namespace anisewick::net {
 
-using links::BusClient;
-using links::DepotPool;
+using links::DiscoveryClient;
 using links::endpoint_of;
 using links::Error;
 using links::Tallies;
 using links::Tally;
 using links::Tcp;
 using links::unix_now;
+using links::UpstreamPool;
 using links::without_delay;
 
 }  // namespace anisewick::net
--- a/src/net/doorman.cpp
+++ b/src/net/doorman.cpp
@@ -13,7 +13,7 @@
 constexpr int kRemarkOriginFailed = 10;
 
 // The counter of such an end, and what it is in a report.
-std::pair<std::uint64_t Counters::*, Tally::What> counted(const DepotPool::Reply& reply) {
+std::pair<std::uint64_t Counters::*, Tally::What> counted(const UpstreamPool::Reply& reply) {
   const int remark = reply.report.remark;
   switch (reply.report.end) {
     case End::kServed:
@@ -42,7 +42,7 @@
 
 }  // namespace
 
-Doorman::Doorman(asio::io_context& io, Facade& facade, DepotPool& depots, Counters& counters,
+Doorman::Doorman(asio::io_context& io, Facade& facade, UpstreamPool& depots, Counters& counters,
                  const generations::Classes& classes)
     : io_(io), facade_(facade), depots_(depots), counters_(counters), classes_(classes), ticking_(io) {}
 
@@ -160,10 +160,10 @@
   counters_.tally(step.depot, Tally::kAttempts);
   if (open.held_only || open.bare) counters_.tally(step.depot, open.bare ? Tally::kBare : Tally::kHeld);
   if (step.source) counters_.tally(*step.source, Tally::kFills);
-  DepotPool::Order order{step.depot, step.source, call.id, depot::fetch_bytes(fetch), !call.tag.empty()};
+  UpstreamPool::Order order{step.depot, step.source, call.id, depot::fetch_bytes(fetch), !call.tag.empty()};
   order.begin_by = step.begin_by;
   open.sent = depots_.send(std::move(order),
-                           [this, ticket](DepotPool::Reply&& reply) { ended(ticket, std::move(reply)); });
+                           [this, ticket](UpstreamPool::Reply&& reply) { ended(ticket, std::move(reply)); });
   open.until = step.until;
   wait_for_end(ticket, open, step.begin_by > 0 ? std::min(step.begin_by, step.until) : step.until);
 }
@@ -181,7 +181,7 @@
   });
 }
 
-void Doorman::ended(Ticket ticket, DepotPool::Reply&& reply) {
+void Doorman::ended(Ticket ticket, UpstreamPool::Reply&& reply) {
   const auto [count, what] = counted(reply);
   ++(counters_.*count);
   const auto it = open_.find(ticket);
@@ -235,7 +235,7 @@
 
 // The attempt's time is over. What had not gone out by then never ran.
 void Doorman::too_late(Ticket ticket) {
-  DepotPool::Reply reply;
+  UpstreamPool::Reply reply;
   reply.report.end = depots_.give_up(open_.at(ticket)->sent) ? End::kUnreached : End::kLate;
   ended(ticket, std::move(reply));
 }
--- a/src/net/doorman.hpp
+++ b/src/net/doorman.hpp
@@ -22,7 +22,7 @@
  public:
   using Reply = std::function<void(Ticket, const Answer&)>;
   // `classes` outlives it and may change between calls.
-  Doorman(asio::io_context& io, Facade& facade, DepotPool& depots, Counters& counters,
+  Doorman(asio::io_context& io, Facade& facade, UpstreamPool& depots, Counters& counters,
           const generations::Classes& classes);
 
   void answers_by(Reply reply) { reply_ = std::move(reply); }
@@ -59,8 +59,8 @@
   struct Open {
     Open(asio::io_context& io, Call&& c) : call(std::move(c)), timer(io) {}
     Call call;
-    DepotPool::Handle sent = 0;  // 0: no attempt is out
-    depot::Id depot = 0;         // of the last attempt, and when it was sent
+    UpstreamPool::Handle sent = 0;  // 0: no attempt is out
+    depot::Id depot = 0;            // of the last attempt, and when it was sent
     std::optional<depot::Id> source;
     std::int64_t sent_at = 0;
     bool held_only = false, bare = false;  // what it asked of its source; bare: nothing
@@ -70,7 +70,7 @@
   void act(Ticket ticket, const Step& step);
   void send(Ticket ticket, Open& open, const Step& step);
   void wait_for_end(Ticket ticket, Open& open, std::int64_t look_at);
-  void ended(Ticket ticket, DepotPool::Reply&& reply);
+  void ended(Ticket ticket, UpstreamPool::Reply&& reply);
   void tally(const Open& open, const Report& report, Tally::What what);
   void too_late(Ticket ticket);
   void turn_away(Ticket ticket, int status);
@@ -79,7 +79,7 @@
 
   asio::io_context& io_;
   Facade& facade_;
-  DepotPool& depots_;
+  UpstreamPool& depots_;
   Counters& counters_;
   const generations::Classes& classes_;
   Reply reply_;
--- a/src/service/service.hpp
+++ b/src/service/service.hpp
@@ -76,7 +76,7 @@
   net::Counters counters_;
   generations::Classes classes_;
   Facade facade_;
-  net::DepotPool depots_;
+  net::UpstreamPool depots_;
   net::Doorman doorman_;
   net::Front front_;
   holds::Holds holds_;
@@ -85,7 +85,7 @@
   handover::Drain drain_;                   // the operators' last word
   bool announced_ = false, half_ = false, left_ = false, taken_ = false;
   std::int64_t started_ms_ = 0;  // Unix time
-  net::BusClient bus_;
+  net::DiscoveryClient bus_;
   std::optional<net::Reports> reports_;
   door::Door door_;
   asio::signal_set signals_;
