--- a/src/links/upstream_pool.cpp
+++ b/src/links/upstream_pool.cpp
@@ -19,7 +19,7 @@
 constexpr auto kStuck = std::chrono::milliseconds(700);
 constexpr int kMostMoves = 2;
 // A connection within a centre is up in a few milliseconds. What waits for one that is not looks this often
-// for another way, and from the second time on has a further connection opened.
+// for another way, and from the third time on has a further connection opened.
 constexpr auto kConnectLook = std::chrono::milliseconds(30);
 constexpr int kLooksBeforeFurther = 3;
 constexpr std::size_t kSpare = 8;  // connections beyond the limit, for depots that have none that will do
@@ -150,6 +150,7 @@
       pool_.open_[item.handle] = {other, id};
       other->send(item.handle, std::move(item.order), std::move(item.done));
     }
+    close_if_done();  // one to a process that is no more has nothing left to do
   }
   // Takes nothing new; ends when nothing is open.
   void retire() {
--- a/src/service/service.cpp
+++ b/src/service/service.cpp
@@ -19,7 +19,7 @@
 constexpr std::size_t kShared = 2;
 constexpr auto kWatch = std::chrono::milliseconds(50);  // between two looks at what other processes were told
 constexpr auto kBusTells = std::chrono::milliseconds(150);  // so long the bus takes to tell what it has
-constexpr lifecycle::Time kLastWrite = 80'000'000;          // to write the last answers, before the kill
+constexpr lifecycle::Time kLastWrite = 40'000'000;          // to write the last answers, before the kill
 constexpr auto kLookAgain = std::chrono::milliseconds(10);
 constexpr std::int64_t kMs = 1'000'000;
 constexpr lifecycle::Time kMostDeadline = 3'600'000 * kMs;  // more is no figure to wait by
