Let late connections' requests go only to cache servers heard within a second

A cut-off server's connections stay up and silent: a request bound for a new one, which never comes up and so proves that nothing ran, was written to a silent one instead and lost there.

A connection must have been heard on within a second. The new test (a connection with an answer owed, silent for 1.2 s) fails before: three requests sent.

--- a/src/links/upstream_pool.cpp
+++ b/src/links/upstream_pool.cpp
@@ -22,6 +22,9 @@
 // for another way, and from the third time on has a further connection opened.
 constexpr auto kConnectLook = std::chrono::milliseconds(30);
 constexpr int kLooksBeforeFurther = 3;
+// On a connection that was silent for longer a request could be lost with the machine, where one that never
+// came up proves that nothing ran.
+constexpr auto kHeardLately = std::chrono::seconds(1);
 constexpr std::size_t kSpare = 8;  // connections beyond the limit, for depots that have none that will do
 
 UpstreamPool::Reply ended(End end) {
@@ -96,6 +99,8 @@
 
   std::size_t load() const { return items_.size(); }
   bool up() const { return up_; }
+  // Something came here not long ago: the machine is neither gone nor cut off.
+  bool heard_lately() const { return up_ && Clock::now() - heard_ < kHeardLately; }
   bool begun(const std::string& id) const {
     const auto it = items_.find(id);
     return it != items_.end() && it->second.started;
@@ -414,7 +419,8 @@
   if (it == depots_.end() || !ready(depot)) return nullptr;
   std::shared_ptr<Link> least;
   for (const auto& link : it->second.links) {
-    if (link->up() && (least == nullptr || link->load() < least->load()) && link->takes(id)) least = link;
+    if (link->heard_lately() && (least == nullptr || link->load() < least->load()) && link->takes(id))
+      least = link;
   }
   if (least != nullptr || !may_open || links_ >= limits_.links + kSpare) return least;
   return open_link(it->second);
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -456,6 +456,26 @@
   CHECK(answer(client).body == "two");
 }
 
+TEST_CASE("A request that waits for a late connection does not go on one that has long been silent") {
+  Site site;
+  LateServer server(site);
+  site.start();
+  Stream client = site.client();
+  client.write(request(1, numbered(1)));
+  Stream first = server.listener.accept();
+  LateServer::answer_next(first, numbered(1), "one");
+  CHECK(answer(client).body == "one");
+  client.write(request(2, numbered(2)));  // has the connection, and gets no answer: the machine may be gone
+  CHECK(first.line().starts_with("fetch " + numbered(2).id));
+  first.take(2);
+  pass(milliseconds(1'200));
+  const Stream filler = server.fill_queue();
+  client.write(request(3, numbered(3, "book-slot")));  // has one opened, which does not come up
+  pass(milliseconds(500));
+  Site::until(*site.program, "unreached=1 ");
+  CHECK(!readable(first.fd(), 0));
+}
+
 TEST_CASE("A request that waits for a late connection goes on a further one that comes up") {
   Site site;
   LateServer server(site);
