--- a/review/stand/stand.py
+++ b/review/stand/stand.py
@@ -61,6 +61,7 @@
         self.depot, self.id, self.fields, self.body = depot, ident, fields, body
         self.at = now_ms()
         self.aborted = False
+        self.copy = None  # from which it was answered
 
     def get(self, name, default=None):
         return self.fields.get(name, default)
@@ -191,6 +192,7 @@
                     parent.copies[key] = copy
             if int(request.get("rank", "0")) > 0:
                 self.copies[key] = copy
+        request.copy = copy
         data = body_of(thing, nth, copy[0], site.size_of(thing))
         say("DONE", "ver=v%d,born=%d,remark=%s" % (copy[0], copy[1], remark), data)
 
@@ -253,6 +255,13 @@
         ts = int(now_ms())
         n = self.put(3, struct.pack(">QQ", int(thing, 16), ts))
         self.site.record("bus event %d: purge of object %s at %d" % (n, thing, ts))
+        return ts
+
+    def purge_group(self, group):
+        ts = int(now_ms())
+        n = self.put(4, struct.pack(">HQ", group, ts))
+        self.site.record("bus event %d: purge of group %d at %d" % (n, group, ts))
+        return ts
 
 
 def d_record(site, d):
