Review: ports of the stand-ins are taken from below the outgoing ones

Cause: such ports were asked of the system, which hands out the same range to outgoing connections. Now they are drawn from below that range.

--- a/review/5/case.py
+++ b/review/5/case.py
@@ -18,9 +18,10 @@
     site.verbose = False
     await site.start()
     listener = socket.socket()  # the platform's, inherited by both processes
-    listener.bind(("127.0.0.1", 0))
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind(("127.0.0.1", site.port))
     listener.listen(512)
-    site.port, fd = listener.getsockname()[1], listener.fileno()
+    fd = listener.fileno()
     env = {"RELAY_FD": str(fd), "RELAY_LISTEN": "127.0.0.1:%d" % site.port}
     old = await site.doorman(name="old process", extra_env=env, pass_fds=(fd,))
     await site.ready(old)
--- a/review/stand/stand.py
+++ b/review/stand/stand.py
@@ -6,6 +6,7 @@
 import asyncio
 import json
 import os
+import random
 import re
 import shutil
 import signal
@@ -39,15 +40,26 @@
 
 
 def free_ports(n):
-    held = []
-    for _ in range(n):
-        s = socket.socket()
-        s.bind(("127.0.0.1", 0))
-        held.append(s)
-    ports = [s.getsockname()[1] for s in held]
-    for s in held:
-        s.close()
-    return ports
+    """Below the ports that the system gives to outgoing connections: none of those takes one before it is listened on."""
+    try:
+        with open("/proc/sys/net/ipv4/ip_local_port_range") as f:
+            top = min(int(f.read().split()[0]), 32768)
+    except (OSError, ValueError):
+        top = 32768
+    ports, draw = [], random.SystemRandom()
+    for _ in range(1000):
+        port = draw.randrange(10000, top) if top > 12000 else 0
+        with socket.socket() as s:
+            s.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                s.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            if s.getsockname()[1] not in ports:
+                ports.append(s.getsockname()[1])
+        if len(ports) == n:
+            return ports
+    raise Cannot("there are no free ports")
 
 
 def body_of(thing, nth, version, size):
