--- a/review/stand/stand.py
+++ b/review/stand/stand.py
@@ -15,6 +15,7 @@
 import sys
 import tempfile
 import time
+import traceback
 
 ROOT = os.path.dirname(os.path.dirname(os.path.dirname(os.path.abspath(__file__))))
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
@@ -622,6 +623,9 @@
     except (Cannot, asyncio.CancelledError) as e:
         print("could not run: %s" % (e or "told to end"))
         sys.exit(CANNOT)
+    except Exception:  # a fault of the case itself is no verdict
+        traceback.print_exc()
+        sys.exit(CANNOT)
     for b in breaks:
         site.record("BROKEN: " + b)
         print("BROKEN: " + b)
