End no connection while the system still holds answers for a client that reads slowly

Cause: a connection counted as idle once the process had written all of its answers, though the system held them for seconds. It was half-closed, closed 1 s later, and the client's next request made the system reset it: what was not delivered was gone.

Fix: SIOCOUTQ tells what the client's system has not acknowledged. Until that is nothing (or a last 24 KB right behind an answer) the connection is not idle, gives no place to others, and the second in which a half-closed one is read on does not begin. The same for peers of the cache server.

--- a/src/cachebox/peer.cpp
+++ b/src/cachebox/peer.cpp
@@ -132,8 +132,9 @@
     const bool stuck = !self->out_.empty() && since(self->moved_) > self->settings_.unread_ms;
     const bool half = self->reader_.midway() && since(self->begun_) > self->settings_.partial_ms &&
                       self->unread_ <= self->settings_.unread_bytes;
-    const bool idle =
-        self->open.empty() && self->out_.empty() && since(self->heard_) > self->settings_.idle_ms;
+    const bool idle = self->open.empty() && self->out_.empty() &&
+                      since(self->heard_) > self->settings_.idle_ms &&
+                      links::undelivered_bytes(self->socket_) == 0;
     if (stuck || half || idle) return self->close();
     self->watch();
   });
--- a/src/links/stream.hpp
+++ b/src/links/stream.hpp
@@ -5,6 +5,9 @@
 #ifndef ANISEWICK_LINKS_STREAM_HPP_
 #define ANISEWICK_LINKS_STREAM_HPP_
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+
 #include <algorithm>
 #include <array>
 #include <cstddef>
@@ -27,6 +30,14 @@
   socket.non_blocking(true, ignored);
 }
 
+// Bytes that were written and that the peer's system has not acknowledged: they are lost if the connection is
+// reset. The end of our half counts as one. 0 where the system cannot tell.
+inline std::size_t undelivered_bytes(Tcp::socket& socket) {
+  int bytes = 0;
+  const bool known = ::ioctl(socket.native_handle(), SIOCOUTQ, &bytes) == 0;
+  return known && bytes > 0 ? static_cast<std::size_t>(bytes) : 0;
+}
+
 // handler(error, size): some bytes have come. They stay in the kernel until then.
 template <typename Handler>
 void async_read_available(Tcp::socket& socket, asio::mutable_buffer to, Handler handler) {
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -28,8 +28,12 @@
 // all. Some clients write slowly, and a request that comes whole is owed an answer.
 constexpr auto kRequestPause = seconds(2);
 constexpr auto kRequestTime = seconds(10);
-// After our half is closed: so long what the client still sends is read and dropped, for its end of file.
+// After our half is closed and its system has all of it: so long what the client still sends is read and
+// dropped, for its end of file.
 constexpr auto kLinger = seconds(1);
+// So many bytes behind the end of our half a client that reads 500 KB a second takes in 50 ms. A request that
+// crosses the end by no more than that comes again.
+constexpr std::size_t kSoonRead = 24u << 10;
 // A client that goes on sending is answered before our half is closed, but not for longer than this.
 constexpr auto kClosingTime = seconds(2);
 constexpr auto kSilent = milliseconds(200);  // of a new connection, before it may have to make room
@@ -110,7 +114,7 @@
 }
 
 bool Front::Connection::spare(Clock::time_point now) const {
-  if (phase_ == Phase::kHalfClosed) return true;
+  if (phase_ == Phase::kHalfClosed) return delivered();
   return quiet() && (asked_ ? !session_.unfinished() : now - active_ > kSilent);
 }
 
@@ -124,6 +128,15 @@
   return socket_.available(error);
 }
 
+std::size_t Front::Connection::undelivered() const {
+  return links::undelivered_bytes(const_cast<Tcp::socket&>(socket_));
+}
+
+bool Front::Connection::delivered() const {
+  const std::size_t left = undelivered();
+  return left <= std::min(kSoonRead, last_write_ + 1);  // 1: the end of our half
+}
+
 bool Front::Connection::idle(Clock::time_point now) const {
   return quiet() && !session_.unfinished() && (asked_ || now - active_ > kSilent);
 }
@@ -324,6 +337,7 @@
   writing_ = true;
   out_.clear();
   out_.swap(queue_);
+  last_write_ = out_.size();
   step(0);
 }
 
@@ -357,9 +371,12 @@
 }
 
 void Front::Connection::look(Clock::time_point now) {
+  note_delivery(now);
   const auto still = now - active_;
-  if (unwritten_ > 0 && still > kStall) return close(ConnectionEnd::kStalled);
-  if (phase_ == Phase::kHalfClosed && now - phase_since_ > kLinger) return close(*end_);
+  const auto taken = now - std::max(active_, delivery_);
+  if (unwritten_ + undelivered_ > 0 && taken > kStall) return close(ConnectionEnd::kStalled);
+  if (phase_ == Phase::kHalfClosed && undelivered_ == 0 && now - std::max(phase_since_, delivery_) > kLinger)
+    return close(*end_);
   if (phase_ == Phase::kOpen && idle(now) && still > (asked_ ? kIdle : kNeverAsked))
     return half_close(asked_ ? ConnectionEnd::kIdle : ConnectionEnd::kNeverAsked);
   if (phase_ == Phase::kOpen && unfinished_ && (still > kRequestPause || now - since_ > kRequestTime))
@@ -367,6 +384,12 @@
   settle();
 }
 
+void Front::Connection::note_delivery(Clock::time_point now) {
+  const std::size_t left = undelivered();
+  if (left != undelivered_) delivery_ = now;
+  undelivered_ = left;
+}
+
 void Front::Connection::settle() {
   half_close_if_done();
   finish_if_idle();
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -53,8 +53,14 @@
   };
 
   std::size_t unread() const;
-  // Nothing is open, unwritten or waits to be read or decoded.
-  bool quiet() const { return tickets_.empty() && unwritten_ == 0 && !decoding_ && unread() == 0; }
+  // Of the answers, what the system has taken and the client's system has not.
+  std::size_t undelivered() const;
+  // Nothing is open, unwritten or waits to be read or decoded, and no answer is still with the system but for
+  // the last few bytes of one that was just written.
+  bool quiet() const {
+    return tickets_.empty() && unwritten_ == 0 && !decoding_ && unread() == 0 && delivered();
+  }
+  bool delivered() const;
   bool idle(Clock::time_point now) const;
   // Something was read or written: of its kind it is the last to make room now.
   void touch();
@@ -88,6 +94,8 @@
   void watch();
   // Every wait for the client has its end.
   void look(Clock::time_point now);
+  // The client has taken something of what the system holds, or there is nothing left of it.
+  void note_delivery(Clock::time_point now);
   void settle();
   void half_close_if_done();
   void half_close(ConnectionEnd why);
@@ -108,10 +116,13 @@
   std::optional<ConnectionEnd> end_;  // why it ends, once it does
   std::array<char, 16 * 1024> in_;
   std::string queue_, out_;
-  std::size_t unwritten_ = 0;        // in both
-  std::size_t assembling_ = 0;       // in the session
-  std::chrono::nanoseconds queued_;  // at most so long it waited to be accepted
-  std::int64_t came_ = 0;            // the bytes that are looked at, by steady_unix_now
+  std::size_t unwritten_ = 0;             // in both
+  std::size_t last_write_ = 0;            // bytes that were last given to the system together
+  std::size_t assembling_ = 0;            // in the session
+  std::size_t undelivered_ = 0;           // at the last look
+  Clock::time_point delivery_ = active_;  // when that last changed, or there was none
+  std::chrono::nanoseconds queued_;       // at most so long it waited to be accepted
+  std::int64_t came_ = 0;                 // the bytes that are looked at, by steady_unix_now
   bool reading_ = false, writing_ = false;
   bool decoding_ = false;  // what was read is being carried out
   fastcgi::Session session_;
