Give back the buffers of answers, requests and reads as they are used up

Cause: the two output buffers of a connection kept the capacity of the largest answers they had carried; bytes held outside the account. On related paths the same: what a session had read in part was counted by size and kept by capacity, the request written last stayed with a server's connection, and each connection had a read buffer of 16 KB. The allocator raised its own thresholds, so large buffers came from the heap and did not go back.

Fix: net::OutputQueue holds what waits and nothing else, an answer is framed with one copy, sessions give back and count capacity, one read buffer serves all connections of a kind, and the allocator's thresholds are fixed.

--- a/src/fastcgi/fastcgi.cpp
+++ b/src/fastcgi/fastcgi.cpp
@@ -8,6 +8,8 @@
 
 constexpr std::size_t kHeader = 8;
 constexpr std::size_t kMostContent = 65528;  // of the records we write: the longest that needs no padding
+constexpr std::size_t kEndRecords = 2;       // headers' worth of room for END_REQUEST
+constexpr std::size_t kKeptBytes = 512;      // of room that a session may keep beyond what it needs
 constexpr unsigned kResponder = 1;
 constexpr unsigned kKeepConnection = 1;
 
@@ -55,8 +57,9 @@
   return true;
 }
 
-void append_record(std::string& out, Type type, std::uint16_t id, std::string_view content) {
-  const std::size_t n = content.size();
+void append_record(std::string& out, Type type, std::uint16_t id, std::string_view content,
+                   std::string_view more) {
+  const std::size_t n = content.size() + more.size();
   const char header[kHeader] = {1,
                                 static_cast<char>(type),
                                 static_cast<char>(id >> 8),
@@ -66,14 +69,18 @@
                                 0,
                                 0};
   out.append(header, kHeader);
-  out.append(content);
+  out.append(content).append(more);
 }
 
-void append_stdout(std::string& out, std::uint16_t id, std::string_view bytes) {
-  while (!bytes.empty()) {
-    const std::string_view part = bytes.substr(0, kMostContent);
-    append_record(out, Type::kStdout, id, part);
-    bytes.remove_prefix(part.size());
+void append_stdout(std::string& out, std::uint16_t id, std::string_view head, std::string_view body) {
+  const std::size_t records = (head.size() + body.size() + kMostContent - 1) / kMostContent;
+  out.reserve(out.size() + head.size() + body.size() + (records + kEndRecords) * kHeader);
+  while (!head.empty() || !body.empty()) {
+    const std::string_view first = head.substr(0, kMostContent);
+    const std::string_view second = body.substr(0, kMostContent - first.size());
+    append_record(out, Type::kStdout, id, first, second);
+    head.remove_prefix(first.size());
+    body.remove_prefix(second.size());
   }
 }
 
@@ -88,10 +95,21 @@
   pending_.append(bytes);
 }
 
+void Session::give_back() {
+  pending_.erase(0, decoded_);
+  decoded_ = 0;
+  if (pending_.empty()) {
+    std::string().swap(pending_);
+  } else if (pending_.capacity() > 2 * pending_.size() + kKeptBytes) {
+    pending_.shrink_to_fit();
+  }
+}
+
 Session::Next Session::next(Event& event, std::string& replies) {
   for (;;) {
     Record record;
     const Next whole = record_at(std::string_view(pending_).substr(decoded_), record);
+    if (whole == Next::kNeedsMore) give_back();
     if (whole != Next::kEvent) return whole;
     decoded_ += record.size;
     const Next next = decode(record, event, replies);
--- a/src/fastcgi/fastcgi.hpp
+++ b/src/fastcgi/fastcgi.hpp
@@ -68,8 +68,8 @@
   bool cancel_has_come(std::uint16_t id) const;
   // The request was answered: its id may be used again, once its last byte has come.
   void finished(std::uint16_t id);
-  // Bytes kept of what has not come whole yet.
-  std::size_t held() const { return pending_.size() - decoded_ + held_; }
+  // Bytes of memory kept for what has not come whole yet.
+  std::size_t held() const { return (pending_.empty() ? 0 : pending_.capacity()) + held_; }
   // A record or a request has begun and its end has not come.
   bool unfinished() const { return pending_.size() > decoded_ || incomplete_ > 0; }
 
@@ -98,6 +98,8 @@
   Next end_of_stream(std::map<std::uint16_t, Assembly>::iterator it, Type type, Event& event);
   Next content(Assembly& assembly, const Record& record, Event& event);
   bool append(std::string& to, std::size_t limit, std::string_view content);
+  // Room that what was decoded has left.
+  void give_back();
   void deliver(Assembly& assembly, std::uint16_t id, Event& event);
   void erase(std::map<std::uint16_t, Assembly>::iterator it);
 
@@ -111,9 +113,11 @@
 
 // False: a length runs past the end.
 bool decode_params(std::string_view bytes, Params& out);
-void append_record(std::string& out, Type type, std::uint16_t id, std::string_view content);
-// As many STDOUT records as it takes.
-void append_stdout(std::string& out, std::uint16_t id, std::string_view bytes);
+// The content may come in two parts; together they are at most 65,535 bytes.
+void append_record(std::string& out, Type type, std::uint16_t id, std::string_view content,
+                   std::string_view more = {});
+// As many STDOUT records as it takes for the head and the body behind it.
+void append_stdout(std::string& out, std::uint16_t id, std::string_view head, std::string_view body = {});
 void append_end(std::string& out, std::uint16_t id, EndStatus status);
 
 }  // namespace anisewick::fastcgi
--- a/src/links/upstream_pool.cpp
+++ b/src/links/upstream_pool.cpp
@@ -1,7 +1,6 @@
 #include "links/upstream_pool.hpp"
 
 #include <algorithm>
-#include <array>
 #include <cerrno>
 #include <deque>
 #include <utility>
@@ -320,6 +319,7 @@
       if (self->closed_) return;
       if (error) return self->fail();
       self->writing_ = false;
+      self->now_ = {};  // a request's body does not stay with the connection
       self->look();
       self->pump();
       self->close_if_done();
@@ -327,18 +327,19 @@
   }
 
   void read() {
-    async_read_available(socket_, asio::buffer(in_), [self = shared_from_this()](Error error, std::size_t n) {
-      if (self->closed_) return;
-      if (error) return self->fail();
-      self->heard_ = self->used_ = Clock::now();
-      std::vector<depot::Answer> answers;
-      const bool fine = self->reader_.feed({self->in_.data(), n}, answers);
-      for (depot::Answer& a : answers) self->answered(a);
-      if (self->closed_) return;
-      if (!fine) return self->fail();
-      self->close_if_done();
-      if (!self->closed_) self->read();
-    });
+    async_read_available(
+        socket_, asio::buffer(pool_.read_buffer_), [self = shared_from_this()](Error error, std::size_t n) {
+          if (self->closed_) return;
+          if (error) return self->fail();
+          self->heard_ = self->used_ = Clock::now();
+          std::vector<depot::Answer> answers;
+          const bool fine = self->reader_.feed({self->pool_.read_buffer_.data(), n}, answers);
+          for (depot::Answer& a : answers) self->answered(a);
+          if (self->closed_) return;
+          if (!fine) return self->fail();
+          self->close_if_done();
+          if (!self->closed_) self->read();
+        });
   }
   void answered(depot::Answer& a) {
     const auto it = items_.find(a.id);
@@ -383,7 +384,6 @@
   Tcp::endpoint to_;
   Tcp::socket socket_;
   asio::steady_timer timer_, again_;
-  std::array<char, 16 * 1024> in_;
   depot::AnswerReader reader_;
   std::deque<Piece> queue_;
   Piece now_;  // being written
--- a/src/links/upstream_pool.hpp
+++ b/src/links/upstream_pool.hpp
@@ -3,6 +3,7 @@
 #ifndef ANISEWICK_LINKS_UPSTREAM_POOL_HPP_
 #define ANISEWICK_LINKS_UPSTREAM_POOL_HPP_
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -92,7 +93,8 @@
   Handle next_ = 1;
   std::unordered_map<depot::Id, Known> depots_;
   std::unordered_map<Handle, Open> open_;
-  std::size_t links_ = 0;  // connections, up or on their way
+  std::size_t links_ = 0;                    // connections, up or on their way
+  std::array<char, 16 * 1024> read_buffer_;  // of all connections: what is read is taken from it at once
 };
 
 }  // namespace anisewick::links
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -10,6 +10,7 @@
 #include <string>
 
 #include "config/config.hpp"
+#include "service/allocator.hpp"
 #include "service/service.hpp"
 
 namespace anisewick {
@@ -80,6 +81,7 @@
 int main() {
   const sigset_t signals = anisewick::waiting_signals();
   ::sigprocmask(SIG_BLOCK, &signals, nullptr);
+  anisewick::service::bound_allocator();
   try {
     return anisewick::start();
   } catch (const std::exception& e) {
--- a/src/net/cgi.cpp
+++ b/src/net/cgi.cpp
@@ -68,10 +68,7 @@
 }
 
 void append_response(std::string& out, std::uint16_t id, std::string_view head, std::string_view body) {
-  std::string response;
-  response.reserve(head.size() + body.size());
-  response.append(head).append(body);
-  fastcgi::append_stdout(out, id, response);
+  fastcgi::append_stdout(out, id, head, body);
   fastcgi::append_end(out, id, fastcgi::EndStatus::kComplete);
 }
 
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -66,11 +66,10 @@
 void Front::Connection::write(std::string bytes) {
   if (phase_ >= Phase::kHalfClosed || bytes.empty()) return;
   // Memory is bounded: when it runs short, those who do not take what they are sent go first.
-  const bool too_much = unwritten_ > kMostUnwritten / 16 && front_.held_ > 2 * front_.limits_.held_bytes;
-  if (too_much || unwritten_ > kMostInAll) return close(ConnectionEnd::kMemory);
+  const bool too_much = out_.size() > kMostUnwritten / 16 && front_.held_ > 2 * front_.limits_.held_bytes;
+  if (too_much || out_.size() > kMostInAll) return close(ConnectionEnd::kMemory);
   front_.held_ += bytes.size();
-  unwritten_ += bytes.size();
-  queue_.append(bytes);
+  out_.append(std::move(bytes));
   pump();
 }
 
@@ -105,8 +104,8 @@
   timer_.cancel();
   socket_.shutdown(Tcp::socket::shutdown_both, ignored);
   socket_.close(ignored);
-  front_.held_ -= unwritten_ + assembling_;
-  unwritten_ = assembling_ = 0;
+  front_.held_ -= out_.size() + assembling_;
+  assembling_ = 0;
   abandon(why);
   order_->erase(place_);  // not in the destructor: the front may be gone by then
   front_.connections_.erase(shared_from_this());
@@ -165,7 +164,7 @@
   if (phase_ == Phase::kClosed || reading_ || ended_) return;
   reading_ = true;
   // The bytes stay in the kernel until they are looked at, so that `quiet` sees a request that has come.
-  links::async_read_available(socket_, asio::buffer(in_),
+  links::async_read_available(socket_, asio::buffer(front_.read_buffer_),
                               [self = shared_from_this()](Error error, std::size_t n) {
                                 self->reading_ = false;
                                 if (self->phase_ == Phase::kClosed) return;
@@ -179,7 +178,7 @@
   ended_ = true;
   const auto why = error == asio::error::eof ? ConnectionEnd::kClientClosed : ConnectionEnd::kBroken;
   abandon(why);
-  if (error != asio::error::eof || unwritten_ == 0 || phase_ == Phase::kHalfClosed) return close(why);
+  if (error != asio::error::eof || out_.size() == 0 || phase_ == Phase::kHalfClosed) return close(why);
   finish(why);  // once what was answered before is written
 }
 
@@ -199,13 +198,13 @@
   if (phase_ == Phase::kHalfClosed || spoilt_) return;  // not taken, and never sent on
   came_ = steady_unix_now() - waited();
   touch();
-  session_.add({in_.data(), size});
+  session_.add({front_.read_buffer_.data(), size});
   // All that has come is looked at before anything is begun: a cancel may be the last of it.
   for (std::size_t all = size; all < kMostAtOnce && unread() > 0; all += size) {
     Error error;
-    size = socket_.read_some(asio::buffer(in_), error);
+    size = socket_.read_some(asio::buffer(front_.read_buffer_), error);
     if (error) break;  // it comes again with the next read
-    session_.add({in_.data(), size});
+    session_.add({front_.read_buffer_.data(), size});
   }
   const bool fine = carry_out_all();
   if (phase_ == Phase::kClosed) return;
@@ -283,7 +282,7 @@
     ++front_.counters_.turned_away;
     reason = "drain";
     append_response(out, r.id, head_of(Answer::refused()), "");
-  } else if (front_.held_ > front_.limits_.held_bytes || unwritten_ > kMostUnwritten ||
+  } else if (front_.held_ > front_.limits_.held_bytes || out_.size() > kMostUnwritten ||
              phase_ != Phase::kOpen) {
     // Memory is bounded, and a connection that is ending takes nothing more: to refuse is harmless.
     ++front_.counters_.turned_away;
@@ -333,29 +332,28 @@
 }
 
 void Front::Connection::pump() {
-  if (writing_ || queue_.empty() || phase_ == Phase::kClosed) return;
+  if (writing_ || out_.size() == 0 || phase_ == Phase::kClosed) return;
   writing_ = true;
-  out_.clear();
-  out_.swap(queue_);
-  last_write_ = out_.size();
-  step(0);
+  last_write_ = out_.front().size();
+  step();
 }
 
-void Front::Connection::step(std::size_t from) {
+void Front::Connection::step() {
+  const std::string_view bytes = out_.front();
   links::async_write_available(
-      socket_, asio::const_buffer(out_.data() + from, out_.size() - from),
-      [self = shared_from_this(), from](Error error, std::size_t n) { self->wrote(error, from, n); });
+      socket_, asio::const_buffer(bytes.data(), bytes.size()),
+      [self = shared_from_this()](Error error, std::size_t n) { self->wrote(error, n); });
 }
 
-void Front::Connection::wrote(const Error& error, std::size_t from, std::size_t n) {
+void Front::Connection::wrote(const Error& error, std::size_t n) {
   if (phase_ == Phase::kClosed) return;
   if (error) return close(ConnectionEnd::kBroken);
   touch();
-  unwritten_ -= n;
+  const bool more = n < out_.front().size();
+  out_.consume(n);
   front_.held_ -= n;
-  if (from + n < out_.size()) return step(from + n);
+  if (more) return step();
   writing_ = false;
-  if (queue_.empty() && out_.capacity() > kMostUnwritten / 4) std::string().swap(out_);
   pump();
   settle();
   read();
@@ -374,7 +372,7 @@
   note_delivery(now);
   const auto still = now - active_;
   const auto taken = now - std::max(active_, delivery_);
-  if (unwritten_ + undelivered_ > 0 && taken > kStall) return close(ConnectionEnd::kStalled);
+  if (out_.size() + undelivered_ > 0 && taken > kStall) return close(ConnectionEnd::kStalled);
   if (phase_ == Phase::kHalfClosed && undelivered_ == 0 && now - std::max(phase_since_, delivery_) > kLinger)
     return close(*end_);
   if (phase_ == Phase::kOpen && idle(now) && still > (asked_ ? kIdle : kNeverAsked))
@@ -396,7 +394,7 @@
 }
 
 void Front::Connection::half_close_if_done() {
-  if (phase_ != Phase::kClosing || decoding_ || !tickets_.empty() || unwritten_ > 0) return;
+  if (phase_ != Phase::kClosing || decoding_ || !tickets_.empty() || out_.size() > 0) return;
   if (ended_) return close(*end_);
   // What has come in this very moment is read and answered first.
   if (!spoilt_ && unread() > 0 && Clock::now() - phase_since_ < kClosingTime) return;
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -4,7 +4,6 @@
 #ifndef ANISEWICK_NET_CONNECTION_HPP_
 #define ANISEWICK_NET_CONNECTION_HPP_
 
-#include <array>
 #include <chrono>
 #include <cstddef>
 #include <memory>
@@ -17,6 +16,7 @@
 #include "net/asio.hpp"
 #include "net/call.hpp"
 #include "net/front.hpp"
+#include "net/output_queue.hpp"
 #include "net/request_log.hpp"
 
 namespace anisewick::net {
@@ -36,7 +36,7 @@
   void finish(ConnectionEnd why);
   // Ends at once.
   void close(ConnectionEnd why);
-  bool written() const { return unwritten_ == 0; }
+  bool written() const { return out_.size() == 0; }
   // It may be closed at once to make room for another. Not a new one, whose request may be on its way.
   bool spare(Clock::time_point now) const;
   ConnectionNumber number() const { return number_; }
@@ -58,7 +58,7 @@
   // Nothing is open, unwritten or waits to be read or decoded, and no answer is still with the system but for
   // the last few bytes of one that was just written.
   bool quiet() const {
-    return tickets_.empty() && unwritten_ == 0 && !decoding_ && unread() == 0 && delivered();
+    return tickets_.empty() && out_.size() == 0 && !decoding_ && unread() == 0 && delivered();
   }
   bool delivered() const;
   bool idle(Clock::time_point now) const;
@@ -72,7 +72,7 @@
   void ended(const Error& error);
   // How long ago the last bytes came that are read now, in nanoseconds, where they may have waited for us.
   std::int64_t waited() const;
-  // So many bytes, in `in_`; more may be there.
+  // So many bytes, in the front's read buffer; more may be there.
   void came(std::size_t size);
   // Carries out what has come, event by event. False: it is no FastCGI.
   bool carry_out_all();
@@ -89,8 +89,8 @@
   void pump();
   // In steps and not all at once, so that a client that takes its answer slowly is told from one that
   // stopped.
-  void step(std::size_t from);
-  void wrote(const Error& error, std::size_t from, std::size_t n);
+  void step();
+  void wrote(const Error& error, std::size_t n);
   void watch();
   // Every wait for the client has its end.
   void look(Clock::time_point now);
@@ -114,9 +114,7 @@
   Phase phase_ = Phase::kOpen;
   Clock::time_point phase_since_ = active_;
   std::optional<ConnectionEnd> end_;  // why it ends, once it does
-  std::array<char, 16 * 1024> in_;
-  std::string queue_, out_;
-  std::size_t unwritten_ = 0;             // in both
+  OutputQueue out_;
   std::size_t last_write_ = 0;            // bytes that were last given to the system together
   std::size_t assembling_ = 0;            // in the session
   std::size_t undelivered_ = 0;           // at the last look
--- a/src/net/front.hpp
+++ b/src/net/front.hpp
@@ -2,6 +2,7 @@
 #ifndef ANISEWICK_NET_FRONT_HPP_
 #define ANISEWICK_NET_FRONT_HPP_
 
+#include <array>
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
@@ -65,6 +66,7 @@
   Limits limits_;
   lifecycle::Duty duty_;
   Ticket next_ticket_ = 1;
+  std::array<char, 16 * 1024> read_buffer_;  // of all connections: what is read is taken from it at once
   std::size_t held_ = 0;
   std::chrono::steady_clock::time_point last_ended_{};  // a connection
   std::unordered_map<Ticket, Open> open_;
