Share what the processes of an upgrade have heard from discovery

Cause: the list and the purges that a process had heard were its own; a new one has the events of its configuration and discovery, and says yes after 1.5 s though discovery is away.

Purge times pass by the monotonic clock. A damaged file changes nothing. Each value left in the folder is given once until it changes; the folder's test was put in that order and has more checks than before.

--- a/src/handover/folder.cpp
+++ b/src/handover/folder.cpp
@@ -24,7 +24,8 @@
 // one of two writers overwrites, it misses at its next look and writes again.
 constexpr int kTries = 10;
 constexpr auto kBetween = std::chrono::microseconds(300);
-constexpr std::time_t kYoung = 2;  // seconds
+constexpr std::time_t kYoung = 2;       // seconds
+constexpr std::size_t kMostGiven = 64;  // files of others that are remembered
 
 std::string name_of(std::uint64_t incarnation) {
   char text[17];
@@ -50,6 +51,8 @@
   return bytes;
 }
 
+std::string suffix_of(Folder::Part part) { return part == Folder::Part::kLearned ? ".left" : ".discovery"; }
+
 std::int64_t changed_at(const struct stat& s) {
   return static_cast<std::int64_t>(s.st_mtim.tv_sec) * 1'000'000'000 + s.st_mtim.tv_nsec;
 }
@@ -97,7 +100,8 @@
 Folder::~Folder() {
   // In this order: who finds the file finds it locked.
   if (alive_ >= 0) ::unlink(path(name_of(self_.incarnation) + ".alive").c_str());
-  clear();
+  clear(Part::kLearned);
+  clear(Part::kDiscovery);
   if (alive_ >= 0) ::close(alive_);
   if (gate_ >= 0) ::close(gate_);
 }
@@ -200,15 +204,25 @@
   return fine;
 }
 
-bool Folder::leave(std::string_view bytes) { return write(name_of(self_.incarnation) + ".left", bytes); }
+bool Folder::leave(Part part, std::string_view bytes) {
+  return write(name_of(self_.incarnation) + suffix_of(part), bytes);
+}
 
-void Folder::clear() { ::unlink(path(name_of(self_.incarnation) + ".left").c_str()); }
+void Folder::clear(Part part) { ::unlink(path(name_of(self_.incarnation) + suffix_of(part)).c_str()); }
 
-std::string Folder::left_by_others(std::size_t most) const {
-  std::string left;
+std::vector<std::string> Folder::left_by_others(Part part, std::size_t most) {
+  std::vector<std::string> left;
   each_of_others([&](std::uint64_t incarnation, const std::string& file) {
-    if (!left.empty() || !file.ends_with(".left") || !lives(incarnation)) return;
-    if (auto bytes = bytes_of(file, most); bytes && bytes->size() <= most) left = std::move(*bytes);
+    struct stat s;
+    if (!file.ends_with(suffix_of(part)) || !lives(incarnation) || ::stat(file.c_str(), &s) != 0) return;
+    const std::pair now(s.st_ino, changed_at(s));
+    const auto given = given_.find(file);
+    if (given != given_.end() && given->second == now) return;
+    auto bytes = bytes_of(file, most);
+    if (!bytes || bytes->size() > most) return;
+    if (given_.size() >= kMostGiven) given_.clear();
+    given_[file] = now;
+    left.push_back(std::move(*bytes));
   });
   return left;
 }
--- a/src/handover/folder.hpp
+++ b/src/handover/folder.hpp
@@ -10,6 +10,8 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 #include "handover/state.hpp"
 
@@ -38,11 +40,16 @@
   // look; what is known here holds all the same.
   bool publish(const std::vector<holds::Mark>& marks, const Drain& drain, bool ready);
 
-  // A larger value that one process leaves for the next, whole or not at all.
-  bool leave(std::string_view bytes);
-  void clear();  // nobody starts any more
-  // That of another process that lives; empty where there is none.
-  std::string left_by_others(std::size_t most) const;
+  // Larger values that one process leaves for the others, each whole or not at all.
+  enum class Part {
+    kLearned,   // for one that starts
+    kDiscovery  // for all
+  };
+  bool leave(Part part, std::string_view bytes);
+  void clear(Part part);
+  // Those of other processes that live, of `most` bytes at most each; none that was given before and has not
+  // changed.
+  std::vector<std::string> left_by_others(Part part, std::size_t most);
 
  private:
   std::string path(std::string_view file) const { return directory_ + "/anisewick." + std::string(file); }
@@ -63,6 +70,7 @@
   ino_t seen_ = 0;     // of the state file
   std::int64_t seen_at_ = 0;
   bool failing_ = false;
+  std::map<std::string, std::pair<ino_t, std::int64_t>> given_;  // files of others, and when they had changed
 };
 
 }  // namespace anisewick::handover
--- a/src/holds/holds.cpp
+++ b/src/holds/holds.cpp
@@ -109,6 +109,12 @@
   return all;
 }
 
+std::vector<bus::Depot> Holds::listed() const {
+  std::vector<bus::Depot> all = list();
+  std::erase_if(all, [](const bus::Depot& d) { return d.state == bus::State::kGone; });
+  return all;
+}
+
 bool Holds::gone(depot::Id id) const {
   const auto it = told_.find(id);
   return it == told_.end() || it->second.state == bus::State::kGone;
--- a/src/holds/holds.hpp
+++ b/src/holds/holds.hpp
@@ -59,6 +59,8 @@
   // The bus's last word; nullptr: it never told of it.
   const bus::Depot* told(depot::Id id) const;
   std::vector<bus::Depot> list() const;
+  // The same without those that have gone.
+  std::vector<bus::Depot> listed() const;
 
   // The bus says that it is gone, or never told of it.
   bool gone(depot::Id id) const;
--- a/src/links/discovery_client.hpp
+++ b/src/links/discovery_client.hpp
@@ -2,7 +2,9 @@
 #ifndef ANISEWICK_LINKS_DISCOVERY_CLIENT_HPP_
 #define ANISEWICK_LINKS_DISCOVERY_CLIENT_HPP_
 
+#include <algorithm>
 #include <array>
+#include <cstdint>
 #include <functional>
 #include <utility>
 #include <vector>
@@ -32,6 +34,10 @@
   // Asks at the new address from here on, for what follows the last event that was heeded.
   void move(const Tcp::endpoint& at, const std::vector<bus::Event>& known);
   void close();
+  // The number of the last event that was heeded.
+  std::uint64_t last() const { return last_; }
+  // All up to that event is known from elsewhere, and is passed over where it still comes.
+  void advance(std::uint64_t number) { last_ = std::max(last_, number); }
 
  private:
   void heed(const std::vector<bus::Event>& events);
--- a/src/service/service.cpp
+++ b/src/service/service.cpp
@@ -86,6 +86,14 @@
     folder_.emplace(around_.folder, c.name, incarnation, unix_ms(),
                     [](const std::string& line) { std::cerr << "anisewick: " << line << std::endl; });
     started_ms_ = folder_->started_ms();
+    shared_discovery_.emplace(
+        *folder_, c.name,
+        SharedDiscovery::Source{[this] { return bus_.last(); }, [this] { return holds_.listed(); },
+                                [this](const bus::Event& event) {
+                                  bus_.advance(event.number);
+                                  heed(event);
+                                }});
+    shared_discovery_->purges_settle(c.settings.purge_settle / kMs);
     publish();
     take_in(folder_->look());
   }
@@ -157,6 +165,7 @@
 
 void Service::heed(const bus::Event& event) {
   doorman_.heed(holds_.over(event));
+  if (shared_discovery_) shared_discovery_->heard(event);
   if (!doorman_.listed() || std::exchange(listed_, true)) return;
   life_.listed();
   if (running_) attend();
@@ -208,6 +217,7 @@
 
 // The settings and limits in force, or half of what they allow while another process has the other half.
 void Service::tune() {
+  if (shared_discovery_) shared_discovery_->purges_settle(config_.settings.purge_settle / kMs);
   const std::uint64_t parts = half_ ? 2 : 1;
   Settings settings = config_.settings;
   settings.classes = classes_.by_slot();
@@ -261,8 +271,12 @@
   const handover::Others others = handover::others(state, folder_->incarnation());
   life_.predecessor(others.before);
   life_.successor(others.after);
+  accompanied_ = others.before || others.after || others.starting;
+  // After the events of the configuration, which are older, and before the rest, by which a process that
+  // starts says yes.
+  if (accompanied_ && running_) shared_discovery_->exchange();
   if (std::exchange(left_, others.starting) != others.starting) {
-    others.starting ? leave_learned() : folder_->clear();
+    others.starting ? leave_learned() : folder_->clear(handover::Folder::Part::kLearned);
   }
   if (running_) attend();
 }
@@ -270,15 +284,15 @@
 // For the one that is starting: it takes the list, the calls and the bus's news before any of it.
 void Service::leave_learned() {
   const std::string bytes = handover::encode_learned(facade_.learned(), config_.name, unix_ms());
-  if (bytes.size() <= handover::kMostLearned) folder_->leave(bytes);
+  if (bytes.size() <= handover::kMostLearned) folder_->leave(handover::Folder::Part::kLearned, bytes);
 }
 
 void Service::take_learned() {
   if (announced_ || taken_) return;
   std::string why;
-  const std::string bytes = folder_->left_by_others(handover::kMostLearned);
-  if (bytes.empty()) return;
-  const auto dated = handover::decode_learned(bytes, config_.name, why);
+  const auto left = folder_->left_by_others(handover::Folder::Part::kLearned, handover::kMostLearned);
+  if (left.empty()) return;
+  const auto dated = handover::decode_learned(left.front(), config_.name, why);
   // One that was left for another, earlier process is too old.
   if (dated && dated->at_ms < started_ms_) return;
   taken_ = true;
@@ -292,8 +306,10 @@
 }
 
 void Service::look() {
-  if (folder_ && folder_->changed()) take_in(folder_->look());
-  if (folder_) take_learned();
+  if (!folder_) return;
+  if (folder_->changed()) take_in(folder_->look());
+  if (accompanied_) shared_discovery_->exchange();
+  take_learned();
 }
 
 void Service::watch() {
--- a/src/service/service.hpp
+++ b/src/service/service.hpp
@@ -24,6 +24,7 @@
 #include "net/reports.hpp"
 #include "net/request_log.hpp"
 #include "service/fleet.hpp"
+#include "service/shared_discovery.hpp"
 
 namespace anisewick::service {
 
@@ -83,8 +84,10 @@
   net::Front front_;
   holds::Holds holds_;
   lifecycle::Life life_;
-  std::optional<handover::Folder> folder_;  // where another process may take over
-  handover::Drain drain_;                   // the operators' last word
+  std::optional<handover::Folder> folder_;           // where another process may take over
+  std::optional<SharedDiscovery> shared_discovery_;  // with the folder
+  bool accompanied_ = false;                         // another process of this one lives
+  handover::Drain drain_;                            // the operators' last word
   bool announced_ = false, half_ = false, left_ = false, taken_ = false;
   std::int64_t started_ms_ = 0;  // Unix time
   net::DiscoveryClient bus_;
--- a/tests/daily_process_test.cpp
+++ b/tests/daily_process_test.cpp
@@ -302,6 +302,47 @@
   CHECK(answer(old_client).body == "first");
 }
 
+// Guards against an upgrade in an outage of discovery: the new process gave out purged copies and sent to
+// draining servers, since what the old one had heard was lost to it (review/5).
+TEST_CASE("What the old process heard from discovery binds the new one, though discovery is away for it") {
+  enum class Away { kSilent, kRefuses, kHeardLater };
+  const Away away = GENERATE(Away::kSilent, Away::kRefuses, Away::kHeardLater);
+  INFO("away " << static_cast<int>(away));
+  Daily site;
+  site.start();
+  REQUIRE(site.ready(site.door));
+  const auto tell_old = [&] {
+    Depot drained = site.depots[0];
+    drained.state = 1;
+    site.tell(4, big_endian(17, 2) + big_endian(static_cast<std::uint64_t>(now_ms()), 8),
+              "lists=1 purges=1 ");
+    site.tell(2, drained.record(), "lists=2 purges=1 ");
+  };
+  if (away != Away::kHeardLater) tell_old();
+  // From here on nobody accepts at discovery, or nobody listens there; or only the old process is told.
+  if (away == Away::kRefuses) {
+    site.bus_listener() = Listener(false);
+    site.bus = Stream();
+  }
+  auto next = site.another(site.around(site.second_door));
+  REQUIRE(site.ready(site.second_door));
+  if (away == Away::kHeardLater) {
+    tell_old();
+    Site::until(*next, "lists=2 purges=1 ");
+  }
+  site.program->signal(SIGTERM);
+  CHECK(site.program->wait().first == 0);
+  Stream client = site.client();
+  for (std::uint64_t n = 10; n < 40; ++n) {
+    client.write(request(1, numbered(n)));
+    const Heard h = site.caches.next();
+    CHECK(h.depot == 1);                 // the other one drains
+    CHECK(h.fields.contains("oldest"));  // a copy older than the purge will not do
+    h.say("DONE", "remark=hit", "whole");
+    CHECK(answer(client).body == "whole");
+  }
+}
+
 TEST_CASE("The door answers while clients hold all the connections that the front takes") {
   Daily site;
   site.change("\"sockets\":1024", "\"sockets\":64");
--- a/tests/daily_test.cpp
+++ b/tests/daily_test.cpp
@@ -18,6 +18,7 @@
 
 #include "door/calls.hpp"
 #include "generations/generations.hpp"
+#include "handover/discovery.hpp"
 #include "handover/folder.hpp"
 #include "handover/learned.hpp"
 #include "handover/sealed.hpp"
@@ -226,6 +227,65 @@
 
 }  // namespace
 
+// Guards against news of discovery that is taken torn, or with figures that cannot be (review/5).
+TEST_CASE("what a process heard from discovery is read back whole, and not at all where it is damaged") {
+  handover::DiscoverySnapshot snapshot;
+  snapshot.number = 41;
+  bus::Depot depot;
+  depot.id = 0x11;
+  depot.address = 0x7f000001;
+  depot.port = 7001;
+  depot.state = bus::State::kDraining;
+  depot.zone = 1;
+  depot.kind = 2;
+  depot.cell = 3;
+  depot.weight = 0.25;
+  depot.started_ms = 1'764'576'000'123;
+  snapshot.servers = {depot};
+  snapshot.purges = {{true, 17, 5'000}, {false, 0x7f3a9c21e0b4d655, 6'000}};
+  const std::string bytes = handover::encode_discovery(snapshot, "n0");
+  std::string why;
+  const auto back = handover::decode_discovery(bytes, "n0", why);
+  REQUIRE(back);
+  CHECK(back->number == 41);
+  CHECK(back->purges == snapshot.purges);
+  REQUIRE(back->servers.size() == 1);
+  const bus::Depot& d = back->servers[0];
+  CHECK((d.id == depot.id && d.address == depot.address && d.port == depot.port && d.state == depot.state));
+  CHECK((d.zone == 1 && d.kind == 2 && d.cell == 3 && d.weight == 0.25 && d.started_ms == depot.started_ms));
+  CHECK_FALSE(handover::decode_discovery(bytes, "n1", why));
+  for (std::size_t size = 0; size < bytes.size(); ++size)
+    CHECK_FALSE(handover::decode_discovery(std::string_view(bytes).substr(0, size), "n0", why));
+  const std::string body = bytes.substr(bytes.find('\n') + 1);
+  for (const auto& [from, to] : std::vector<std::pair<std::string, std::string>>{{"number 41", "number x"},
+                                                                                 {"number 41\n", ""},
+                                                                                 {" 1 1 2 3 ", " 3 1 2 3 "},
+                                                                                 {" 7001 ", " 70010 "},
+                                                                                 {"s-00000011", "11"},
+                                                                                 {"0.250000", "nan"},
+                                                                                 {"group 11", "group -1"},
+                                                                                 {"object", "thing"}}) {
+    INFO(from << " to " << to);
+    std::string other = body;
+    REQUIRE(other.find(from) != std::string::npos);
+    other.replace(other.find(from), from.size(), to);
+    CHECK_FALSE(
+        handover::decode_discovery(handover::sealed("anisewick-discovery", 1, "n0", other), "n0", why));
+  }
+}
+
+TEST_CASE("of purges the latest counts, and one that is settled is forgotten") {
+  handover::PurgeLog log;
+  log.add({true, 17, 1'000}, 1'000, 7'000);
+  log.add({true, 17, 500}, 1'100, 7'000);
+  log.add({false, 17, 2'000}, 2'000, 7'000);
+  CHECK(log.purges() == std::vector<handover::Purge>{{false, 17, 2'000}, {true, 17, 1'000}});
+  log.add({true, 18, 8'500}, 8'500, 7'000);
+  CHECK(log.purges() == std::vector<handover::Purge>{{false, 17, 2'000}, {true, 18, 8'500}});
+  for (std::uint64_t n = 0; n < 10'000; ++n) log.add({false, n, 8'600}, 8'600, 7'000);
+  CHECK(log.purges().size() <= 4'096);
+}
+
 TEST_CASE("the life cycle by tables") {
   SECTION("start on a socket of its own") {
     play(false, {{0, "", "-a----"}, {1, "handed", "-a----"}, {2, "listed", "ra----"}, {9'000, "", "ra----"}});
@@ -586,11 +646,21 @@
     CHECK_FALSE(first->changed());
   }
   SECTION("a larger value is left for the next") {
-    CHECK(second->left_by_others(100).empty());
-    CHECK(first->leave("what was learned"));
-    CHECK(second->left_by_others(100) == "what was learned");
-    CHECK(second->left_by_others(3).empty());
-    CHECK(first->left_by_others(100).empty());
+    using Part = handover::Folder::Part;
+    using Left = std::vector<std::string>;
+    CHECK(second->left_by_others(Part::kLearned, 100).empty());
+    CHECK(first->leave(Part::kLearned, "what was learned"));
+    CHECK(second->left_by_others(Part::kLearned, 3).empty());
+    CHECK(second->left_by_others(Part::kDiscovery, 100).empty());
+    CHECK(second->left_by_others(Part::kLearned, 100) == Left{"what was learned"});
+    CHECK(first->left_by_others(Part::kLearned, 100).empty());
+    // Each value is given once.
+    CHECK(second->left_by_others(Part::kLearned, 100).empty());
+    CHECK(first->leave(Part::kLearned, "what was learned since"));
+    CHECK(second->left_by_others(Part::kLearned, 100) == Left{"what was learned since"});
+    CHECK(first->leave(Part::kDiscovery, "what was heard"));
+    CHECK(second->left_by_others(Part::kDiscovery, 100) == Left{"what was heard"});
+    CHECK(first->leave(Part::kLearned, "what was learned at last"));
     const std::string of_killed = folder.path + "/anisewick.00000000000000aa.";
     std::ofstream(of_killed + "left") << "of one that was killed";
     std::ofstream(of_killed + "draft") << "and half";
@@ -599,8 +669,8 @@
       std::filesystem::last_write_time(of_killed + what,
                                        std::filesystem::file_time_type::clock::now() - std::chrono::hours(1));
     }
-    first->clear();
-    CHECK(second->left_by_others(100).empty());
+    first->clear(Part::kLearned);
+    CHECK(second->left_by_others(Part::kLearned, 100).empty());
     const handover::Folder third(folder.path, "n1", 3, 30, say);
     CHECK_FALSE(std::filesystem::exists(of_killed + "left"));
     CHECK_FALSE(std::filesystem::exists(of_killed + "draft"));
@@ -678,7 +748,7 @@
         std::vector<holds::Mark> marks;
         for (depot::Id id = 100; id < 300; ++id) marks.push_back({id, n % 2 == 0, 1000 * round + n});
         own.publish(marks, {n % 2 == 0, 1000 * round + n}, true);
-        own.leave(std::string(4000, 'x'));
+        own.leave(handover::Folder::Part::kLearned, std::string(4000, 'x'));
       }
     }
     std::this_thread::sleep_for(std::chrono::microseconds(random() % 20'000));
