Keep the time at which a request is wanted with it, whatever the settings become

Cause: the index of open requests by the time at which they are wanted was keyed by a time reckoned anew from the settings. After SIGHUP the entry of a request that ended was not found; when its time came held.at() threw, and nobody catches that.

Fix: the time is stored with the request when it comes, and used wherever it is asked for. An entry without its request is passed over.

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -287,6 +287,7 @@
 struct Held {
   Request r;
   Time arrived = 0;
+  Time wanted = 0;  // by then, by the settings of its arrival
   std::vector<Try> tries;
   bool stale_ok = false;
 };
@@ -543,7 +544,7 @@
     const auto it = held.find(id);
     if (it == held.end()) return;
     for (Try& t : it->second.tries) close(t);
-    due.erase({wanted_by(it->second), id});
+    due.erase({it->second.wanted, id});
     held.erase(it);
   }
 
@@ -706,7 +707,7 @@
     const Time half = now + (last - now) / 2;
     const bool more = static_cast<int>(h.tries.size()) + 1 < c.max_attempts;
     const Time fair_end = now + static_cast<Time>(aim_of(h.r));
-    a.until = more ? std::min(last, std::max({half, wanted_by(h), fair_end})) : last;
+    a.until = more ? std::min(last, std::max({half, h.wanted, fair_end})) : last;
     a.begin_by = repeat_by(h);
     t.server = server;
     t.source = source;
@@ -761,18 +762,18 @@
         o.note == Note::kOriginFailed || (!ok && t.source->role == Role::kOrigin &&
                                           (o.note == Note::kSourceRefused || o.note == Note::kSourceFailed));
     if (failed || o.note == Note::kFilledByOrigin) {
-      const bool gave = ok && now <= wanted_by(h);
+      const bool gave = ok && now <= h.wanted;
       if (!t.overdue && (failed || gave || links_late < kWeak)) from_origin.ended(now, t.at, gave, draw());
       if (failed) return;  // says nothing of the links
     }
     // What parents held comes late where the links are crowded: then lateness is no sign of a weak origin.
-    const double late = now > wanted_by(h) ? 1.0 : 0.0;
+    const double late = now > h.wanted ? 1.0 : 0.0;
     if (ok && o.note == Note::kFilled) links_late += kLinksSmooth * (late - links_late);
     if (!t.fill || t.overdue || (ok && (o.note == Note::kHit || o.note == Note::kStale))) return;
     if (o.status == Status::kTimeout && !fair(h, o)) return;
     if (o.status == Status::kTimeout && (t.server->answered < t.at || t.server->asked.out))
       return;  // one hangs
-    if (ok && now <= wanted_by(h)) {
+    if (ok && now <= h.wanted) {
       Crowd& crowd = t.server->crowd;
       crowd.late_share -= kLateSmooth * crowd.late_share;
       if (crowd.limit > 0.0 && crowd.filling > crowd.limit / 2.0) crowd.limit += kLimitGrow * t.work;
@@ -795,9 +796,9 @@
   // A fill that is overdue counts as late at once: where all is slow, its end is seconds off.
   void find_overdue(Time now) {
     while (!due.empty() && due.begin()->first < now) {
-      Held& h = held.at(due.begin()->second);
+      const auto it = held.find(due.begin()->second);
       due.erase(due.begin());
-      Try* t = h.tries.empty() ? nullptr : &h.tries.back();
+      Try* t = it == held.end() || it->second.tries.empty() ? nullptr : &it->second.tries.back();
       if (t == nullptr || !t->open || !t->fill || t->server->answered < t->at || t->server->asked.out)
         continue;
       t->overdue = true;
@@ -888,7 +889,8 @@
   sum += i.work_of(request);
   n += 1.0;
   i.retries = std::min(kRetryStore, i.retries + kRetryShare);
-  i.due.insert({i.wanted_by(h), request.id});
+  h.wanted = i.wanted_by(h);
+  i.due.insert({h.wanted, request.id});
   const bool kept = !i.cls(request).never_kept && !request.write;
   i.attempt(now, h, out);
   if (kept) i.hotness.count(Impl::count_key(request), now);
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -650,6 +650,24 @@
   EXPECT_TRUE(f.refused());
 }
 
+// Guards against an index of open requests whose key is reckoned anew from settings that have changed: its
+// entry was not found when the request ended, and the time of the entry then ended the process (review/2,
+// issue 38).
+TEST(Crowds, AnotherPaceOfClientsWhileRequestsAreOpenLeavesNothingBehind) {
+  for (const double pace : {100.0, 900.0, 5000.0, 0.0}) {
+    Front f;
+    f.ask(1);
+    Settings s = base();
+    s.client_kb_per_s = pace;
+    f.control.retune(s);
+    f.end(Status::kOk, Note::kFilled);
+    for (int i = 0; i < 100; ++i) {
+      f.now += 100 * kMs;
+      EXPECT_NO_THROW(f.serve(2));
+    }
+  }
+}
+
 TEST(Determinism, TheSameEventsGiveTheSameActionsWithAnotherInstanceBeside) {
   Front f, g, other;
   for (std::uint64_t i = 0; i < 300; ++i) {
