Hold requests and answers in one account of memory, with room reserved beforehand

What callers saw: at 32 MB and 1,024 descriptors, 300 clients that stopped half way, sent heads of very many short fields or read nothing took the process to 98, 2,719 and 48 MB (it is killed at 32), and usual clients were refused (13 to 26 served, 85 to 506 refused in 6 s).

Cause: bytes that no account knew or that it let in first. Parameters were decoded before the body came (16 KB of short fields are half a megabyte); a request was let in without room for its answer; answers on their way were not counted; the front's own replies were bounded at 16 MB a connection.

Fix: net::MemoryAccount, with charges that give themselves back. A request is let in with room for its answer or refused at once with a time to come back; a connection may hold a quarter of what is free. Requests in part have a quarter of the account, beyond it the heaviest (bytes times age) loses its part. Who takes nothing for 1 s while memory is half full ends. Servers' answers are not read beyond the limit. One client gets 64 events a turn; replies nobody reads stop the reading. Free pages go back to the system.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -290,6 +290,7 @@
   const element permits = need(settings, "limits");
   c.connect_timeout = get<std::int64_t>(permits, "connect_timeout", 400'000'000);
   c.connection_idle = get<std::int64_t>(permits, "conn_idle", 30'000'000'000);
+  c.flow_bytes_per_s = get<double>(e, "flow_bytes_per_s", 0.0);
   c.streams = std::max(1, get<int>(permits, "max_streams", 100));
   if (const auto prices = find(settings, "prices"))
     c.handshake_price = get<double>(*prices, "handshake", 0.0);
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -25,6 +25,7 @@
   Endpoint bus;
   std::optional<Endpoint> ops;  // where operators call; none: there is no door for them
   std::uint64_t memory_mb = 0;
+  double flow_bytes_per_s = 0.0;  // of one transfer on a socket; 0: not told
   std::uint64_t sockets = 0;
   anisewick::Settings settings;
   std::vector<std::string> classes;  // by their place in the settings
--- a/src/depot/depot.hpp
+++ b/src/depot/depot.hpp
@@ -52,6 +52,8 @@
   bool feed(std::string_view bytes, std::vector<Answer>& out);
   // An answer has begun and its end has not come.
   bool midway() const { return in_body_ || !line_.empty(); }
+  // Bytes kept of it.
+  std::size_t held() const { return line_.size() + answer_.body.size(); }
 
  private:
   bool line(std::string_view text);
--- a/src/fastcgi/fastcgi.cpp
+++ b/src/fastcgi/fastcgi.cpp
@@ -9,6 +9,10 @@
 constexpr std::size_t kHeader = 8;
 constexpr std::size_t kMostContent = 65528;  // of the records we write: the longest that needs no padding
 constexpr std::size_t kEndRecords = 2;       // headers' worth of room for END_REQUEST
+// Of replies at once. Web servers ask for values now and then and begin few requests beyond those allowed;
+// who is owed more sends nothing else.
+constexpr std::size_t kMostReplies = 16u << 10;
+constexpr std::size_t kAssemblyBytes = 512;  // of memory for a request, beside its parameters and its body
 constexpr std::size_t kKeptBytes = 512;      // of room that a session may keep beyond what it needs
 constexpr unsigned kResponder = 1;
 constexpr unsigned kKeepConnection = 1;
@@ -46,6 +50,21 @@
 
 }  // namespace
 
+namespace {
+
+// Whether the lengths are sound: as `decode_params`, and nothing is kept.
+bool sound_params(std::string_view bytes) {
+  while (!bytes.empty()) {
+    std::size_t name = 0, value = 0;
+    if (!length(bytes, name) || !length(bytes, value)) return false;
+    if (name > bytes.size() || value > bytes.size() - name) return false;
+    bytes.remove_prefix(name + value);
+  }
+  return true;
+}
+
+}  // namespace
+
 bool decode_params(std::string_view bytes, Params& out) {
   while (!bytes.empty()) {
     std::size_t name = 0, value = 0;
@@ -90,11 +109,18 @@
 }
 
 void Session::add(std::string_view bytes) {
+  looked_ = false;
   pending_.erase(0, decoded_);
   decoded_ = 0;
   pending_.append(bytes);
 }
 
+void Session::discard() {
+  std::string().swap(pending_);  // an assignment would keep its capacity
+  open_.clear();
+  decoded_ = held_ = incomplete_ = 0;
+}
+
 void Session::give_back() {
   pending_.erase(0, decoded_);
   decoded_ = 0;
@@ -114,6 +140,7 @@
     decoded_ += record.size;
     const Next next = decode(record, event, replies);
     if (next != Next::kNeedsMore) return next;
+    if (replies.size() > kMostReplies) return Next::kMalformed;
   }
 }
 
@@ -129,9 +156,18 @@
   return Next::kEvent;
 }
 
-bool Session::cancel_has_come(std::uint16_t id) const {
+bool Session::cancel_has_come(std::uint16_t id) {
   std::string_view rest = std::string_view(pending_).substr(decoded_);
   Record record;
+  // A batch without any cancel is looked through once, not for each of its requests.
+  if (looked_) {
+    if (!cancel_pending_) return false;
+  } else {
+    looked_ = true;
+    cancel_pending_ = false;
+    for (std::string_view all = rest; record_at(all, record) == Next::kEvent; all.remove_prefix(record.size))
+      cancel_pending_ = cancel_pending_ || record.type == Type::kAbort;
+  }
   for (; record_at(rest, record) == Next::kEvent; rest.remove_prefix(record.size)) {
     if (record.id != id) continue;
     if (record.type == Type::kAbort) return true;
@@ -184,7 +220,7 @@
   Assembly& assembly = it->second;
   if (type == Type::kParams) {
     if (std::exchange(assembly.params_done, true) || assembly.delivered) return Next::kNeedsMore;
-    return decode_params(assembly.params, assembly.request.params) ? Next::kNeedsMore : Next::kMalformed;
+    return sound_params(assembly.params) ? Next::kNeedsMore : Next::kMalformed;
   }
   if (!assembly.params_done)
     return Next::kMalformed;  // the body may come between the parameters, but not end
@@ -213,14 +249,21 @@
 
 bool Session::append(std::string& to, std::size_t limit, std::string_view content) {
   if (to.size() + content.size() > limit) return false;
+  const std::size_t before = to.capacity();
   to.append(content);
-  held_ += content.size();
+  held_ += to.capacity() - before;
   return true;
 }
 
+std::size_t Session::held_by(const Assembly& assembly) {
+  return kAssemblyBytes + assembly.params.capacity() + assembly.request.body.capacity();
+}
+
 void Session::deliver(Assembly& assembly, std::uint16_t id, Event& event) {
-  held_ -= assembly.params.size() + assembly.request.body.size();
+  held_ -= held_by(assembly);
   assembly.delivered = true;
+  // Decoded only now, when one at a time is: very many short fields are many times their bytes.
+  if (!assembly.request.too_large) decode_params(assembly.params, assembly.request.params);
   std::string().swap(assembly.params);
   event = {Event::Kind::kRequest, {}};
   event.request.keep_connection = assembly.request.keep_connection;
@@ -233,7 +276,7 @@
 
 void Session::erase(std::map<std::uint16_t, Assembly>::iterator it) {
   const Assembly& a = it->second;
-  if (!a.delivered) held_ -= a.params.size() + a.request.body.size();
+  if (!a.delivered) held_ -= held_by(a);
   if (!a.ended) --incomplete_;
   open_.erase(it);
 }
@@ -257,6 +300,7 @@
     append_end(replies, record.id, EndStatus::kOverloaded);
   } else {
     Assembly& assembly = open_[record.id];
+    held_ += held_by(assembly);
     ++incomplete_;
     assembly.request.keep_connection = (byte_at(record.content, 2) & kKeepConnection) != 0;
   }
--- a/src/fastcgi/fastcgi.hpp
+++ b/src/fastcgi/fastcgi.hpp
@@ -65,9 +65,11 @@
   // Decodes up to the next event. Appends to `replies` what must be said at once, before the event.
   Next next(Event& event, std::string& replies);
   // Among what has come behind the last event is the cancel of this request.
-  bool cancel_has_come(std::uint16_t id) const;
+  bool cancel_has_come(std::uint16_t id);
   // The request was answered: its id may be used again, once its last byte has come.
   void finished(std::uint16_t id);
+  // Nothing more will be taken: all that is kept is given back.
+  void discard();
   // Bytes of memory kept for what has not come whole yet.
   std::size_t held() const { return (pending_.empty() ? 0 : pending_.capacity()) + held_; }
   // A record or a request has begun and its end has not come.
@@ -98,6 +100,8 @@
   Next end_of_stream(std::map<std::uint16_t, Assembly>::iterator it, Type type, Event& event);
   Next content(Assembly& assembly, const Record& record, Event& event);
   bool append(std::string& to, std::size_t limit, std::string_view content);
+  // Bytes of memory that a request holds until it is delivered.
+  static std::size_t held_by(const Assembly& assembly);
   // Room that what was decoded has left.
   void give_back();
   void deliver(Assembly& assembly, std::uint16_t id, Event& event);
@@ -107,8 +111,10 @@
   std::string pending_;      // from the last piece on
   std::size_t decoded_ = 0;  // of it
   std::map<std::uint16_t, Assembly> open_;
-  std::size_t held_ = 0;        // in the assemblies
-  std::size_t incomplete_ = 0;  // of them, those whose last byte has not come
+  std::size_t held_ = 0;         // in the assemblies that are not delivered, in bytes of memory
+  bool looked_ = false;          // what was added last was looked through for cancels
+  bool cancel_pending_ = false;  // among what is not decoded there may be a cancel
+  std::size_t incomplete_ = 0;   // of them, those whose last byte has not come
 };
 
 // False: a length runs past the end.
--- a/src/links/upstream_pool.cpp
+++ b/src/links/upstream_pool.cpp
@@ -27,6 +27,7 @@
 // On a connection that was silent for longer a request could be lost with the machine, where one that never
 // came up proves that nothing ran.
 constexpr auto kHeardLately = std::chrono::seconds(1);
+constexpr auto kReadAgain = std::chrono::milliseconds(10);  // where there was no room for more of an answer
 constexpr std::size_t kSpare = 8;  // connections beyond the limit, for depots that have none that will do
 
 // A lack of this machine or of this process, not of the server: descriptors, memory, local addresses, a
@@ -77,7 +78,12 @@
 class UpstreamPool::Link : public std::enable_shared_from_this<Link> {
  public:
   Link(UpstreamPool& pool, const bus::Depot& depot)
-      : pool_(pool), depot_(depot.id), socket_(pool.io_), timer_(pool.io_), again_(pool.io_) {
+      : pool_(pool),
+        depot_(depot.id),
+        socket_(pool.io_),
+        timer_(pool.io_),
+        again_(pool.io_),
+        reading_again_(pool.io_) {
     to_ = endpoint_of(depot.address, depot.port);
     ++pool_.links_;
   }
@@ -218,7 +224,10 @@
     Error ignored;
     timer_.cancel();
     again_.cancel();
+    reading_again_.cancel();
     socket_.close(ignored);
+    note_arriving(0);
+    if (pool_.finishing_ == this) pool_.finishing_ = nullptr;
     --pool_.links_;
     if (const auto it = pool_.depots_.find(depot_); it != pool_.depots_.end()) {
       std::erase(it->second.links, shared_from_this());
@@ -326,7 +335,26 @@
     });
   }
 
+  // There is room for the answer of one that is open here at least; none open: there is nothing to hold.
+  // Where there is none for any answer, those that have come in part are read to their end one after another,
+  // since only then they can go out.
+  bool may_read() {
+    if (!pool_.may_read_ || items_.empty()) return true;
+    if (std::any_of(items_.begin(), items_.end(),
+                    [&](const auto& item) { return pool_.may_read_(item.second.order.tag); }))
+      return true;
+    if (pool_.finishing_ == nullptr && reader_.midway()) pool_.finishing_ = this;
+    return pool_.finishing_ == this;
+  }
   void read() {
+    if (!may_read()) {
+      heard_ = Clock::now();  // it is we who do not listen
+      reading_again_.expires_after(kReadAgain);
+      reading_again_.async_wait([self = shared_from_this()](Error error) {
+        if (!error && !self->closed_) self->read();
+      });
+      return;
+    }
     async_read_available(
         socket_, asio::buffer(pool_.read_buffer_), [self = shared_from_this()](Error error, std::size_t n) {
           if (self->closed_) return;
@@ -334,6 +362,9 @@
           self->heard_ = self->used_ = Clock::now();
           std::vector<depot::Answer> answers;
           const bool fine = self->reader_.feed({self->pool_.read_buffer_.data(), n}, answers);
+          self->note_arriving(self->reader_.held());
+          if (self->pool_.finishing_ == self.get() && !self->reader_.midway())
+            self->pool_.finishing_ = nullptr;
           for (depot::Answer& a : answers) self->answered(a);
           if (self->closed_) return;
           if (!fine) return self->fail();
@@ -341,6 +372,10 @@
           if (!self->closed_) self->read();
         });
   }
+  void note_arriving(std::size_t bytes) {
+    pool_.arriving_ += bytes - arriving_;  // unsigned, and it may fall: the sum comes out right
+    arriving_ = bytes;
+  }
   void answered(depot::Answer& a) {
     const auto it = items_.find(a.id);
     if (it == items_.end() || !it->second.started) {
@@ -383,8 +418,9 @@
   const depot::Id depot_;
   Tcp::endpoint to_;
   Tcp::socket socket_;
-  asio::steady_timer timer_, again_;
+  asio::steady_timer timer_, again_, reading_again_;
   depot::AnswerReader reader_;
+  std::size_t arriving_ = 0;  // bytes of an answer that has come in part
   std::deque<Piece> queue_;
   Piece now_;  // being written
   std::unordered_map<std::string, Item> items_;
--- a/src/links/upstream_pool.hpp
+++ b/src/links/upstream_pool.hpp
@@ -37,8 +37,9 @@
     std::function<std::string()> bytes;
     bool tagged = false;  // it names the client's copy, so that copy may be the answer
     std::int64_t begin_by =
-        0;          // by steady_unix_now: not written from then on, but unreached; 0: no such bound
-    int moved = 0;  // from connections that ended, or did not come up, before it was sent
+        0;                  // by steady_unix_now: not written from then on, but unreached; 0: no such bound
+    std::uint64_t tag = 0;  // of the caller's own
+    int moved = 0;          // from connections that ended, or did not come up, before it was sent
   };
   struct Reply {
     Report report;
@@ -56,6 +57,9 @@
 
   // Called before what has waited is written: it may not go any more, and `heed` then recalls it.
   void looks_by(std::function<void()> look) { look_ = std::move(look); }
+  // Asked before more of an answer is read, with the tag of its order. False: it is asked again a little
+  // later.
+  void reads_by(std::function<bool(std::uint64_t tag)> may_read) { may_read_ = std::move(may_read); }
   // From here on; what is open beyond it stays open.
   void limit(std::size_t links) { limits_.links = links; }
   void heed(const bus::Event& event);
@@ -65,6 +69,8 @@
   // True: it had not been sent, which proves that it never ran.
   bool give_up(Handle handle);
   void close();
+  // Of answers that have come in part, over all connections.
+  std::size_t arriving_bytes() const { return arriving_; }
 
  private:
   class Link;
@@ -90,10 +96,14 @@
   Counters& counters_;
   Limits limits_;
   std::function<void()> look_;
+  std::function<bool(std::uint64_t tag)> may_read_;
   Handle next_ = 1;
   std::unordered_map<depot::Id, Known> depots_;
   std::unordered_map<Handle, Open> open_;
-  std::size_t links_ = 0;                    // connections, up or on their way
+  std::size_t links_ = 0;  // connections, up or on their way
+  std::size_t arriving_ = 0;
+  const Link* finishing_ =
+      nullptr;  // reads the answer that has come in part to its end, where there is no room
   std::array<char, 16 * 1024> read_buffer_;  // of all connections: what is read is taken from it at once
 };
 
--- a/src/net/call.hpp
+++ b/src/net/call.hpp
@@ -2,6 +2,7 @@
 #ifndef ANISEWICK_NET_CALL_HPP_
 #define ANISEWICK_NET_CALL_HPP_
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <string_view>
@@ -46,6 +47,8 @@
   virtual void left(Ticket ticket) = 0;  // the client waits no longer: no answer is owed
   // So long, in nanoseconds, the loop may have been held up until now: what is read may have waited as long.
   virtual std::int64_t held_up() const = 0;
+  // Bytes of answers that have come from servers in part.
+  virtual std::size_t arriving_bytes() const = 0;
 };
 
 }  // namespace anisewick::net
--- a/src/net/cgi.cpp
+++ b/src/net/cgi.cpp
@@ -15,6 +15,7 @@
 constexpr double kMostPatience = 3'600'000.0;
 constexpr double kMostSizeKb = 1'000'000.0;
 constexpr int kMostGroup = 255;
+constexpr std::size_t kMostFields = 512;  // web servers send some dozens
 
 template <typename T>
 bool number(std::string_view text, T& value, int base = 10) {
@@ -35,6 +36,7 @@
 }  // namespace
 
 bool call_from(fastcgi::Request& request, Call& call) {
+  if (request.params.size() > kMostFields) return false;
   std::map<std::string_view, std::string_view> p;
   for (const auto& [name, value] : request.params) {
     if (!p.emplace(name, value).second) return false;  // which of the two is meant?
--- a/src/net/connection.cpp
+++ b/src/net/connection.cpp
@@ -19,8 +19,14 @@
 constexpr std::string_view kHealthPath = "/_health";
 // Of one connection, before no further request is taken on it. It is read on, for cancels and its end.
 constexpr std::size_t kMostUnwritten = 4u << 20;
-// The answers of what was open by then come to 8 MB at most; beyond that are refusals that are not taken.
-constexpr std::size_t kMostInAll = 16u << 20;
+// Of answers that the front gives by itself. A client that has not taken them is not read: it has sent far
+// more than may be open at once.
+constexpr std::size_t kMostReplies = 64u << 10;
+// What a request takes beside its body: its fields, its place in every table, its attempt.
+constexpr std::size_t kRequestBytes = 4096;
+constexpr std::size_t kBodyCopies = 2;      // one as it came, one as it goes to a server
+constexpr auto kTakesNothing = seconds(1);  // clients that read slowly still take some in that time
+constexpr int kMostEventsATurn = 64;
 constexpr auto kStall = seconds(10);  // a client that takes nothing for so long is gone or harmful
 constexpr auto kIdle = seconds(6);  // longer than the clients' own 4 s, so that those who behave close first
 constexpr seconds kNeverAsked{2};   // clients send what they have as soon as they are connected
@@ -52,6 +58,8 @@
       number_(number),
       socket_(std::move(socket)),
       timer_(front.io_),
+      incoming_(front.account_, MemoryAccount::Place::kIncoming),
+      outgoing_(front.account_, MemoryAccount::Place::kOutgoing),
       queued_(front.acceptor_.behind()),
       session_({.connections = front.limits_.connections}),
       order_(&front.silent_),
@@ -65,14 +73,17 @@
 
 void Front::Connection::write(std::string bytes) {
   if (phase_ >= Phase::kHalfClosed || bytes.empty()) return;
-  // Memory is bounded: when it runs short, those who do not take what they are sent go first.
-  const bool too_much = out_.size() > kMostUnwritten / 16 && front_.held_ > 2 * front_.limits_.held_bytes;
-  if (too_much || out_.size() > kMostInAll) return close(ConnectionEnd::kMemory);
-  front_.held_ += bytes.size();
+  if (out_.size() == 0) delivery_ = Clock::now();
   out_.append(std::move(bytes));
+  outgoing_.set(out_.size());
   pump();
 }
 
+void Front::Connection::reply(std::string bytes) {
+  replies_ += bytes.size();
+  write(std::move(bytes));
+}
+
 void Front::Connection::answered(std::uint16_t id, bool keep) {
   session_.finished(id);
   if (!keep) return finish(ConnectionEnd::kNotKept);
@@ -104,8 +115,8 @@
   timer_.cancel();
   socket_.shutdown(Tcp::socket::shutdown_both, ignored);
   socket_.close(ignored);
-  front_.held_ -= out_.size() + assembling_;
-  assembling_ = 0;
+  incoming_.set(0);
+  outgoing_.set(0);
   abandon(why);
   order_->erase(place_);  // not in the destructor: the front may be gone by then
   front_.connections_.erase(shared_from_this());
@@ -161,7 +172,7 @@
 }
 
 void Front::Connection::read() {
-  if (phase_ == Phase::kClosed || reading_ || ended_) return;
+  if (phase_ == Phase::kClosed || reading_ || decoding_ || ended_ || replies_ > kMostReplies) return;
   reading_ = true;
   // The bytes stay in the kernel until they are looked at, so that `quiet` sees a request that has come.
   links::async_read_available(socket_, asio::buffer(front_.read_buffer_),
@@ -170,7 +181,6 @@
                                 if (self->phase_ == Phase::kClosed) return;
                                 if (error) return self->ended(error);
                                 self->came(n);
-                                self->read();
                               });
 }
 
@@ -195,7 +205,7 @@
 }
 
 void Front::Connection::came(std::size_t size) {
-  if (phase_ == Phase::kHalfClosed || spoilt_) return;  // not taken, and never sent on
+  if (phase_ == Phase::kHalfClosed || spoilt_) return read();  // not taken, and never sent on
   came_ = steady_unix_now() - waited();
   touch();
   session_.add({front_.read_buffer_.data(), size});
@@ -206,36 +216,71 @@
     if (error) break;  // it comes again with the next read
     session_.add({front_.read_buffer_.data(), size});
   }
-  const bool fine = carry_out_all();
+  decoding_ = true;
+  carry_on();
+}
+
+void Front::Connection::carry_on() {
+  const auto next = carry_out_some();
   if (phase_ == Phase::kClosed) return;
+  if (next != fastcgi::Session::Next::kEvent || spoilt_) {
+    decoding_ = false;
+    return carried_out(next != fastcgi::Session::Next::kMalformed);
+  }
+  asio::post(socket_.get_executor(), [self = shared_from_this()] {
+    if (self->phase_ != Phase::kClosed) self->carry_on();
+  });
+}
+
+void Front::Connection::carried_out(bool fine) {
   const bool unfinished = session_.unfinished();
   if (unfinished && !unfinished_) since_ = Clock::now();
   unfinished_ = unfinished;
-  // Memory is bounded: too much that never comes whole is ended where it grows.
-  const bool too_much = assembling_ > 0 && front_.held_ > 2 * front_.limits_.held_bytes;
-  if (!fine || too_much) {  // only this connection suffers
+  if (!fine) {  // only this connection suffers
     ++front_.counters_.malformed;
-    spoilt_ = true;
+    pass_over();
     fail_open(ConnectionEnd::kMalformed);
     finish(ConnectionEnd::kMalformed);
   }
   settle();
+  front_.bound_incoming();
+  read();
 }
 
-bool Front::Connection::carry_out_all() {
-  decoding_ = true;
+// kEvent: there may be more.
+fastcgi::Session::Next Front::Connection::carry_out_some() {
   auto next = fastcgi::Session::Next::kEvent;
-  while (next == fastcgi::Session::Next::kEvent && phase_ != Phase::kClosed) {
+  for (int n = 0; n < kMostEventsATurn; ++n) {
+    if (next != fastcgi::Session::Next::kEvent || phase_ == Phase::kClosed || spoilt_) break;
     fastcgi::Event event;
     std::string replies;
     next = session_.next(event, replies);
-    front_.held_ += session_.held() - assembling_;  // unsigned, and it may fall: the sum comes out right
-    assembling_ = session_.held();
-    write(std::move(replies));
+    incoming_.set(session_.held());
+    reply(std::move(replies));
     if (next == fastcgi::Session::Next::kEvent && phase_ != Phase::kClosed) carry_out(event);
   }
-  decoding_ = false;
-  return next != fastcgi::Session::Next::kMalformed;
+  return next;
+}
+
+bool Front::Connection::stalled(Clock::time_point now) const {
+  return out_.size() > 0 && now - delivery_ > kTakesNothing;
+}
+
+double Front::Connection::incoming_burden(Clock::time_point now) const {
+  const auto age = std::chrono::duration<double>(now - since_) + milliseconds(1);
+  return static_cast<double>(incoming_.bytes()) * age.count();
+}
+
+void Front::Connection::drop_incoming() {
+  pass_over();
+  finish(ConnectionEnd::kMemory);
+}
+
+void Front::Connection::pass_over() {
+  spoilt_ = true;
+  session_.discard();
+  unfinished_ = false;
+  incoming_.set(0);
 }
 
 void Front::Connection::carry_out(fastcgi::Event& event) {
@@ -264,6 +309,13 @@
   std::string_view reason;
   Call call;
   call.taken = came_;
+  std::size_t request_bytes = 0, answer_bytes = 0;
+  const auto has_room = [&] {
+    request_bytes = kRequestBytes + kBodyCopies * call.body.size();
+    answer_bytes = front_.answer_sizes_.expected(call.size_kb);
+    return out_.size() <= kMostUnwritten &&
+           front_.has_room(owed_ + out_.size(), request_bytes + answer_bytes);
+  };
   if (health) {
     ++front_.counters_.health;
     reason = "health";
@@ -282,28 +334,42 @@
     ++front_.counters_.turned_away;
     reason = "drain";
     append_response(out, r.id, head_of(Answer::refused()), "");
-  } else if (front_.held_ > front_.limits_.held_bytes || out_.size() > kMostUnwritten ||
-             phase_ != Phase::kOpen) {
-    // Memory is bounded, and a connection that is ending takes nothing more: to refuse is harmless.
+  } else if (phase_ != Phase::kOpen) {
+    // A connection that is ending takes nothing more: to refuse is harmless.
     ++front_.counters_.turned_away;
-    reason = phase_ != Phase::kOpen ? "connection_ends" : "memory";
+    reason = "connection_ends";
     fastcgi::append_end(out, r.id, fastcgi::EndStatus::kOverloaded);
+  } else if (!has_room()) {
+    // What is let in has its room, so that it is never lost for a lack of it.
+    ++front_.counters_.turned_away;
+    reason = "memory";
+    Answer refused = Answer::refused();
+    refused.come_back = front_.limits_.come_back;
+    append_response(out, r.id, head_of(refused), "");
   } else {
-    const Ticket ticket = front_.next_ticket_++;
-    const std::size_t bytes = call.body.size() + sizeof(Call);
-    front_.held_ += bytes;
-    front_.open_[ticket] = {shared_from_this(), r.id, bytes, r.keep_connection};
-    tickets_[r.id] = ticket;
-    ++front_.counters_.taken;
-    if (front_.counters_.log != nullptr) front_.counters_.log->taken(ticket, number_, r.id, call);
-    front_.calls_.taken(ticket, std::move(call));
-    return;
+    return take(r, std::move(call), request_bytes, answer_bytes);
   }
   if (front_.counters_.log != nullptr) front_.counters_.log->answered_by_front(number_, r.id, reason);
-  write(std::move(out));
+  reply(std::move(out));
   answered(r.id, r.keep_connection);
 }
 
+void Front::Connection::take(const fastcgi::Request& r, Call&& call, std::size_t request_bytes,
+                             std::size_t answer_bytes) {
+  const Ticket ticket = front_.next_ticket_++;
+  owed_ += request_bytes + answer_bytes;
+  front_.open_.emplace(ticket, Open{shared_from_this(),
+                                    r.id,
+                                    r.keep_connection,
+                                    call.size_kb,
+                                    {front_.account_, MemoryAccount::Place::kRequests, request_bytes},
+                                    {front_.account_, MemoryAccount::Place::kReserved, answer_bytes}});
+  tickets_[r.id] = ticket;
+  ++front_.counters_.taken;
+  if (front_.counters_.log != nullptr) front_.counters_.log->taken(ticket, number_, r.id, call);
+  front_.calls_.taken(ticket, std::move(call));
+}
+
 void Front::Connection::abandon(ConnectionEnd why) {
   std::vector<Ticket> left;
   for (const auto& [id, ticket] : tickets_) left.push_back(ticket);
@@ -324,7 +390,7 @@
 void Front::Connection::drop(Ticket ticket, std::string_view why) {
   const auto it = front_.open_.find(ticket);
   if (it == front_.open_.end()) return;
-  front_.held_ -= it->second.bytes;
+  owed_ -= it->second.request.bytes() + it->second.answer.bytes();
   front_.open_.erase(it);
   ++front_.counters_.left;
   if (front_.counters_.log != nullptr) front_.counters_.log->left(ticket, why);
@@ -349,9 +415,11 @@
   if (phase_ == Phase::kClosed) return;
   if (error) return close(ConnectionEnd::kBroken);
   touch();
+  delivery_ = active_;
   const bool more = n < out_.front().size();
   out_.consume(n);
-  front_.held_ -= n;
+  outgoing_.set(out_.size());
+  if (out_.size() == 0) replies_ = 0;
   if (more) return step();
   writing_ = false;
   pump();
@@ -371,8 +439,9 @@
 void Front::Connection::look(Clock::time_point now) {
   note_delivery(now);
   const auto still = now - active_;
-  const auto taken = now - std::max(active_, delivery_);
-  if (out_.size() + undelivered_ > 0 && taken > kStall) return close(ConnectionEnd::kStalled);
+  if (out_.size() + undelivered_ > 0 && now - delivery_ > kStall) return close(ConnectionEnd::kStalled);
+  // Memory is bounded: when it runs short, those who do not take what they are sent go first.
+  if (stalled(now) && front_.crowded()) return close(ConnectionEnd::kMemory);
   if (phase_ == Phase::kHalfClosed && undelivered_ == 0 && now - std::max(phase_since_, delivery_) > kLinger)
     return close(*end_);
   if (phase_ == Phase::kOpen && idle(now) && still > (asked_ ? kIdle : kNeverAsked))
--- a/src/net/connection.hpp
+++ b/src/net/connection.hpp
@@ -40,7 +40,18 @@
   // It may be closed at once to make room for another. Not a new one, whose request may be on its way.
   bool spare(Clock::time_point now) const;
   ConnectionNumber number() const { return number_; }
-  void forget(std::uint16_t id) { tickets_.erase(id); }
+  // The request is over, and so many bytes were held for it.
+  void forget(std::uint16_t id, std::size_t bytes) {
+    tickets_.erase(id);
+    owed_ -= bytes;
+  }
+  std::size_t unwritten() const { return out_.size(); }  // bytes
+  // It has taken nothing of its answers for so long that no client does who keeps to the pages.
+  bool stalled(Clock::time_point now) const;
+  // By how much what has come in part weighs on the others: bytes times the time for which it is held.
+  double incoming_burden(Clock::time_point now) const;
+  // What has come in part is dropped and nothing more is taken; what is open is answered.
+  void drop_incoming();
   // Best right after an answer: the client can't have sent what that answer leads to.
   void finish_if_idle();
 
@@ -74,11 +85,21 @@
   std::int64_t waited() const;
   // So many bytes, in the front's read buffer; more may be there.
   void came(std::size_t size);
-  // Carries out what has come, event by event. False: it is no FastCGI.
-  bool carry_out_all();
+  // Carries out what has come, event by event, a bounded part of it a turn of the loop: nobody else waits for
+  // a client that sends at full speed.
+  void carry_on();
+  fastcgi::Session::Next carry_out_some();
+  // What was read and is still to come is not looked at any more.
+  void pass_over();
+  // All that came is carried out.
+  void carried_out(bool fine);
+  // An answer that nobody was asked for.
+  void reply(std::string bytes);
   void carry_out(fastcgi::Event& event);
   void cancelled(const fastcgi::Request& request);
   void request(fastcgi::Request& request);
+  void take(const fastcgi::Request& request, Call&& call, std::size_t request_bytes,
+            std::size_t answer_bytes);
   // No answer is owed for anything that is open here, or none can be given.
   void abandon(ConnectionEnd why);
   void drop(Ticket ticket, std::string_view why);
@@ -115,8 +136,10 @@
   Clock::time_point phase_since_ = active_;
   std::optional<ConnectionEnd> end_;  // why it ends, once it does
   OutputQueue out_;
-  std::size_t last_write_ = 0;            // bytes that were last given to the system together
-  std::size_t assembling_ = 0;            // in the session
+  std::size_t last_write_ = 0;  // bytes that were last given to the system together
+  std::size_t replies_ = 0;     // bytes of answers by the front itself, since all was written last
+  std::size_t owed_ = 0;        // bytes held for the requests that are open here
+  MemoryAccount::Charge incoming_, outgoing_;
   std::size_t undelivered_ = 0;           // at the last look
   Clock::time_point delivery_ = active_;  // when that last changed, or there was none
   std::chrono::nanoseconds queued_;       // at most so long it waited to be accepted
--- a/src/net/counters.hpp
+++ b/src/net/counters.hpp
@@ -25,7 +25,7 @@
   kSlowRequest,   // a request stood still in part, or took too long in all
   kStalled,       // the client did not take what it was sent
   kMalformed,     // no FastCGI, or more in part than memory allows
-  kMemory,        // answers that are not taken held too much
+  kMemory,        // what it sent in part, or did not take, held too much
   kRoom,          // another client waited for its place
   kDrain,         // it rested while the process is in a drain or about to end
   kCount
--- a/src/net/doorman.cpp
+++ b/src/net/doorman.cpp
@@ -193,6 +193,7 @@
   const auto bytes = [&call, step] { return depot::fetch_bytes(fetch_of(call, step, steady_unix_now())); };
   UpstreamPool::Order order{step.depot, step.source, call.id, bytes, !call.tag.empty()};
   order.begin_by = step.begin_by;
+  order.tag = ticket;
   open.sent = depots_.send(std::move(order),
                            [this, ticket](UpstreamPool::Reply&& reply) { ended(ticket, std::move(reply)); });
   open.until = step.until;
--- a/src/net/doorman.hpp
+++ b/src/net/doorman.hpp
@@ -55,6 +55,7 @@
   void taken(Ticket ticket, Call&& call) override;
   void left(Ticket ticket) override;
   std::int64_t held_up() const override;
+  std::size_t arriving_bytes() const override { return depots_.arriving_bytes(); }
 
  private:
   struct Open {
--- a/src/service/allocator.cpp
+++ b/src/service/allocator.cpp
@@ -16,7 +16,7 @@
 
 void trim_allocator() {
 #ifdef __GLIBC__
-  ::malloc_trim(0);
+  if (::mallinfo2().fordblks > kFreeBytes) ::malloc_trim(0);
 #endif
 }
 
--- a/src/service/allocator.hpp
+++ b/src/service/allocator.hpp
@@ -16,7 +16,11 @@
 // Once, before anything large is allocated. Without effect on allocators other than glibc's.
 void bound_allocator();
 
-// Returns free pages from within the heap to the system; takes up to some milliseconds.
+// So much that is free within the heap is left there.
+constexpr std::size_t kFreeBytes = 3u << 20;
+
+// Returns free pages from within the heap to the system where there are many; takes up to some milliseconds
+// then.
 void trim_allocator();
 
 }  // namespace anisewick::service
--- a/src/service/service.cpp
+++ b/src/service/service.cpp
@@ -10,6 +10,7 @@
 
 #include "anisewick/learned.hpp"
 #include "handover/learned.hpp"
+#include "service/allocator.hpp"
 
 namespace anisewick::service {
 namespace {
@@ -18,10 +19,12 @@
 
 constexpr std::size_t kShared = 2;
 constexpr auto kWatch = std::chrono::milliseconds(50);  // between two looks at what other processes were told
+constexpr auto kTrim = std::chrono::milliseconds(200);  // between two looks at what the heap has free
 constexpr auto kBusTells = std::chrono::milliseconds(150);  // so long the bus takes to tell what it has
 constexpr lifecycle::Time kLastWrite = 40'000'000;          // to write the last answers, before the kill
 constexpr auto kLookAgain = std::chrono::milliseconds(10);
 constexpr std::int64_t kMs = 1'000'000;
+constexpr std::int64_t kMemoryComesBack = 250 * kMs;  // answers are written, or their clients ended, by then
 constexpr lifecycle::Time kMostDeadline = 3'600'000 * kMs;  // more is no figure to wait by
 
 lifecycle::Time now() {
@@ -49,7 +52,10 @@
   net::Front::Limits limits;
   // Clients that behave hold at most a third of the descriptors; more would starve the depots' connections.
   limits.connections = std::max<std::uint64_t>(8, c.sockets / 2);
-  limits.held_bytes = c.memory_mb * (std::uint64_t{1} << 20) / 4;
+  // The rest is for the decisions, for connections at rest and for what the allocator cannot use.
+  limits.held_bytes = c.memory_mb * (std::uint64_t{1} << 20) * 3 / 8;
+  if (c.settings.client_kb_per_s > 0.0) limits.bytes_per_kb = c.flow_bytes_per_s / c.settings.client_kb_per_s;
+  limits.come_back = std::min(kMemoryComesBack, c.settings.max_retry_after);
   return limits;
 }
 
@@ -72,9 +78,11 @@
       signals_(io_, SIGTERM, SIGINT, SIGUSR1),
       next_(io_),
       watching_(io_),
-      settling_(io_) {
+      settling_(io_),
+      trimming_(io_) {
   signals_.add(SIGHUP);
   doorman_.answers_by([this](net::Ticket ticket, const net::Answer& a) { front_.answer(ticket, a); });
+  depots_.reads_by([this](net::Ticket ticket) { return front_.may_read(ticket); });
   if (around_.report_gap.count() > 0) reports_.emplace(io_, counters_, around_.report_gap, std::cerr);
   if (around_.log_requests) counters_.log = &log_.emplace(std::cerr);
   life_.longest_deadline(longest_deadline(c.settings));
@@ -158,6 +166,7 @@
   });
   attend();
   if (folder_) watch();
+  trim();
   io_.run();
   print_counters();
   return 0;
@@ -229,6 +238,9 @@
   config::Config c;
   c.sockets = config_.sockets / parts;
   c.memory_mb = config_.memory_mb / parts;
+  c.flow_bytes_per_s = config_.flow_bytes_per_s;
+  c.settings.client_kb_per_s = config_.settings.client_kb_per_s;
+  c.settings.max_retry_after = config_.settings.max_retry_after;
   front_.limit(front_limits(c));
   depots_.limit(link_limit(c));
 }
@@ -321,6 +333,15 @@
   });
 }
 
+void Service::trim() {
+  trimming_.expires_after(kTrim);
+  trimming_.async_wait([this](Error error) {
+    if (error) return;
+    trim_allocator();
+    trim();
+  });
+}
+
 void Service::end() {
   if (fleet_) fleet_->end();
   front_.close();
@@ -448,7 +469,13 @@
 
 void Service::print_counters() const {
   std::cerr << "anisewick: " << counters_ << "; door: calls=" << door_.tally().calls
-            << " turned_down=" << door_.tally().refused << " silent=" << door_.tally().silent << std::endl;
+            << " turned_down=" << door_.tally().refused << " silent=" << door_.tally().silent;
+  const net::MemoryAccount& account = front_.account();
+  std::cerr << "; memory: limit=" << account.limit() << " most=" << account.most();
+  for (std::size_t i = 0; i < net::MemoryAccount::kWords.size(); ++i)
+    std::cerr << " " << net::MemoryAccount::kWords[i] << "="
+              << account.held(static_cast<net::MemoryAccount::Place>(i));
+  std::cerr << std::endl;
 }
 
 }  // namespace anisewick::service
--- a/src/service/service.hpp
+++ b/src/service/service.hpp
@@ -60,6 +60,7 @@
   void look();
   void take_in(const handover::State& state);
   void watch();
+  void trim();
   void leave_learned();
   void take_learned();
   bool publish();
@@ -95,7 +96,7 @@
   std::optional<net::RequestLog> log_;
   door::Door door_;
   asio::signal_set signals_;
-  asio::steady_timer next_, watching_, settling_;
+  asio::steady_timer next_, watching_, settling_, trimming_;
   std::unique_ptr<Fleet> fleet_;  // none: alone, as on the platform
   bool running_ = false, listed_ = false, failed_ = false;
   lifecycle::Time over_at_ = 0;
