Claim the id of a request that may not run twice, for both processes of an upgrade

What callers saw: a client left while its booking was at a server, the same id came again, on a new connection or at the other process of an upgrade, and the booking ran twice.

Cause: what was known of an id went with its request; nothing remembered that it may have run, and the other process never knew.

Fix: for classes that may not simply be repeated the id is claimed when it is taken, in a table mapped from a file of the shared folder, atomically between processes.

--- a/src/handover/folder.hpp
+++ b/src/handover/folder.hpp
@@ -30,6 +30,9 @@
   ~Folder();
   Folder(const Folder&) = delete;
 
+  // Of a file that all processes use.
+  std::string shared_path(std::string_view file) const { return path(file); }
+
   std::uint64_t incarnation() const { return self_.incarnation; }
   std::int64_t started_ms() const { return self_.started_ms; }  // Unix time, as the others are told it
   // Something was written since the last look, by anybody; or somebody who ran has ended.
--- a/src/net/doorman.cpp
+++ b/src/net/doorman.cpp
@@ -1,6 +1,7 @@
 #include "net/doorman.hpp"
 
 #include <algorithm>
+#include <charconv>
 #include <utility>
 
 #include "net/request_log.hpp"
@@ -49,6 +50,18 @@
   return {&Counters::broke, Tally::kBroke};
 }
 
+// Source: PROTOCOL, answers of servers, and the table of completion codes in WIRE.
+bool proves_unrun(End end) {
+  return end == End::kFull || end == End::kUnreached || end == End::kOver || end == End::kLacks;
+}
+
+// Of 16 hex digits, as the front has checked; never 0, which stands for none.
+std::uint64_t number_of(std::string_view id) {
+  std::uint64_t number = 0;
+  std::from_chars(id.data(), id.data() + id.size(), number, 16);
+  return std::max<std::uint64_t>(1, number);
+}
+
 // A purge, by the clock of the decisions. Where that is ahead of the system's the purge is taken for younger,
 // up to now: an older one would let old copies do.
 bus::Event dated(bus::Event event) {
@@ -108,6 +121,11 @@
   if (call.patience / 2 > cls->terms->deadline) return turn_away(ticket, 400, "patience");
   // By its id a depot tells a request from another: two at once would get each other's answers.
   if (!ids_.insert(call.id).second) return turn_away(ticket, 409, "id_is_open");
+  const std::uint64_t claimed = cls->terms->repeat == Repeat::kSafe ? 0 : number_of(call.id);
+  if (claimed != 0 && runs_.claim && !runs_.claim(claimed)) {
+    ids_.erase(call.id);
+    return turn_away(ticket, 409, "may_have_run");
+  }
   Ask ask;
   ask.id = ticket;
   ask.object = call.object;
@@ -117,7 +135,7 @@
   ask.terms = cls->terms;
   ask.group = call.group;
   ask.give_up_at = call.taken + call.patience;
-  open_.emplace(ticket, std::make_unique<Open>(io_, std::move(call)));
+  open_.emplace(ticket, std::make_unique<Open>(io_, std::move(call))).first->second->claimed = claimed;
   if (watch_) {
     watch_->look();
     if (const std::int64_t back = watch_->admit(ask.cls, ask.terms->worth, ask.size_kb, ticket); back > 0) {
@@ -136,8 +154,8 @@
   if (it == open_.end()) return;
   const auto open = std::move(it->second);
   open_.erase(it);
-  ids_.erase(open->call.id);
-  if (open->sent != 0) depots_.give_up(open->sent);
+  take_back(*open);
+  forget(*open);
   if (watch_) watch_->given_up(ticket);
   facade_.gone(steady_unix_now(), ticket);
 }
@@ -145,7 +163,7 @@
 void Doorman::fail_all() {
   while (!open_.empty()) {
     const Ticket ticket = open_.begin()->first;
-    if (open_.begin()->second->sent != 0) depots_.give_up(open_.begin()->second->sent);
+    take_back(*open_.begin()->second);
     ++counters_.given_up["ended"];
     Answer answer;
     answer.reason = "ended";
@@ -231,6 +249,7 @@
     if (what != Tally::kHits) ++s.fills;
   }
   it->second->sent = 0;
+  it->second->may_have_run = it->second->may_have_run || !proves_unrun(reply.report.end);
   it->second->last_end = Tally::kWords[what];
   if (counters_.log != nullptr)
     counters_.log->attempt_ended(ticket, it->second->attempts, it->second->depot, Tally::kWords[what]);
@@ -277,7 +296,7 @@
 // The attempt's time is over. What had not gone out by then never ran.
 void Doorman::too_late(Ticket ticket) {
   UpstreamPool::Reply reply;
-  reply.report.end = depots_.give_up(open_.at(ticket)->sent) ? End::kUnreached : End::kLate;
+  reply.report.end = take_back(*open_.at(ticket));
   ended(ticket, std::move(reply));
 }
 
@@ -291,11 +310,23 @@
 
 void Doorman::finish(Ticket ticket, const Answer& answer) {
   const auto it = open_.find(ticket);
-  ids_.erase(it->second->call.id);
+  forget(*it->second);
   open_.erase(it);
   reply_(ticket, answer);
 }
 
+End Doorman::take_back(Open& open) {
+  const bool unsent = open.sent == 0 || depots_.give_up(open.sent);
+  open.sent = 0;
+  open.may_have_run = open.may_have_run || !unsent;
+  return unsent ? End::kUnreached : End::kLate;
+}
+
+void Doorman::forget(const Open& open) {
+  ids_.erase(open.call.id);
+  if (open.claimed != 0 && !open.may_have_run && runs_.release) runs_.release(open.claimed);
+}
+
 // Events that came together are handled in any order: the tick may have been the first of them.
 std::int64_t Doorman::held_up() const {
   const std::int64_t since = steady_unix_now() - ticked_;
--- a/src/net/doorman.hpp
+++ b/src/net/doorman.hpp
@@ -26,6 +26,12 @@
           const generations::Classes& classes);
 
   void answers_by(Reply reply) { reply_ = std::move(reply); }
+  // Of requests that may not run twice, by their ids. Without it an id that comes again is a new request.
+  struct Runs {
+    std::function<bool(std::uint64_t id)> claim;  // false: it may have run
+    std::function<void(std::uint64_t id)> release;
+  };
+  void claims_by(Runs runs) { runs_ = std::move(runs); }
   void heed(const bus::Event& event);
   void start() { tick(); }
   void close() { ticking_.cancel(); }
@@ -66,6 +72,8 @@
     std::optional<depot::Id> source;
     std::int64_t sent_at = 0;
     int attempts = 0;
+    std::uint64_t claimed = 0;  // its id, where it may not run twice; 0: it may
+    bool may_have_run = false;
     std::string_view last_end;             // of the attempt before, in a word
     bool held_only = false, bare = false;  // what it asked of its source; bare: nothing
     asio::steady_timer timer;              // of the attempt
@@ -80,6 +88,10 @@
   void turn_away(Ticket ticket, int status, std::string_view reason);
   void log_attempt(Ticket ticket, const Open& open, const Step& step);
   void finish(Ticket ticket, const Answer& answer);
+  // The attempt that is out ends here. Its end, as far as it proves something.
+  End take_back(Open& open);
+  // The request is over: what has not run may come again.
+  void forget(const Open& open);
   void tick();
 
   asio::io_context& io_;
@@ -88,6 +100,7 @@
   Counters& counters_;
   const generations::Classes& classes_;
   Reply reply_;
+  Runs runs_;
   bool listed_ = false;
   asio::steady_timer ticking_;
   std::int64_t ticked_ = 0,
--- a/src/service/service.cpp
+++ b/src/service/service.cpp
@@ -24,6 +24,7 @@
 constexpr lifecycle::Time kLastWrite = 40'000'000;          // to write the last answers, before the kill
 constexpr auto kLookAgain = std::chrono::milliseconds(10);
 constexpr std::int64_t kMs = 1'000'000;
+constexpr std::int64_t kNanosecondsPerSecond = 1'000 * kMs;
 constexpr std::int64_t kMemoryComesBack = 250 * kMs;  // answers are written, or their clients ended, by then
 constexpr lifecycle::Time kMostDeadline = 3'600'000 * kMs;  // more is no figure to wait by
 
@@ -105,6 +106,9 @@
     publish();
     take_in(folder_->look());
   }
+  runs_.emplace(folder_ ? folder_->shared_path("runs") : std::string());
+  doorman_.claims_by({[this](std::uint64_t id) { return runs_->claim(id, now() / kNanosecondsPerSecond); },
+                      [this](std::uint64_t id) { runs_->release(id); }});
   if (around_.fleet) {
     fleet_ = around_.fleet(
         io_, {[this](const holds::Word& word, bool ours_waits) { settled(word, ours_waits); },
--- a/src/service/service.hpp
+++ b/src/service/service.hpp
@@ -14,6 +14,7 @@
 #include "facade/facade.hpp"
 #include "generations/generations.hpp"
 #include "handover/folder.hpp"
+#include "handover/run_ledger.hpp"
 #include "handover/state.hpp"
 #include "holds/holds.hpp"
 #include "lifecycle/lifecycle.hpp"
@@ -86,6 +87,7 @@
   holds::Holds holds_;
   lifecycle::Life life_;
   std::optional<handover::Folder> folder_;           // where another process may take over
+  std::optional<handover::RunLedger> runs_;          // with the folder it is shared
   std::optional<SharedDiscovery> shared_discovery_;  // with the folder
   bool accompanied_ = false;                         // another process of this one lives
   handover::Drain drain_;                            // the operators' last word
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -190,6 +190,57 @@
 
 // ---- Clients that leave
 
+// Guards against a booking that ran twice: its client left while it was at a server, and the same id came
+// again (issue 38).
+TEST_CASE("A booking whose client left does not run again when its id comes again") {
+  const bool cancels = GENERATE(false, true);
+  const bool never_ran = GENERATE(false, true);
+  INFO((cancels ? "cancelled" : "closed") << (never_ran ? ", refused by the server" : ", may have run"));
+  Site site;
+  site.start();
+  const Ask booking = numbered(1, "book-slot");
+  Stream client = site.client();
+  client.write(request(1, booking));
+  const Heard first = site.caches.next();
+  CHECK(first.id == booking.id);
+  if (never_ran) {
+    first.say("WAIT");
+    CHECK(site.caches.next().id == booking.id);  // asked again, since it did not run
+  }
+  if (cancels) {
+    client.write(record(2, 1, ""));
+    CHECK(answer(client).id == 1);
+  } else {
+    client = Stream();
+  }
+  CHECK(site.caches.next().verb == "abort");
+  Stream again = site.client();
+  again.write(request(2, booking));
+  const Answer failed = answer(again);
+  CHECK((failed.has("Status: 409") && !failed.has("X-Come-Back-Ms")));
+  next_heard_is(site, numbered(2));
+}
+
+// Its counterpart: what certainly did not run may come again with its id.
+TEST_CASE("A booking that was refused unseen runs when its id comes again") {
+  Site site;
+  site.start();
+  const Ask booking = numbered(1, "book-slot");
+  Stream client = site.client();
+  client.write(request(1, booking));
+  bool answered = false;
+  while (const auto heard = site.caches.next(500)) heard->say("WAIT");
+  CHECK(answer(client).has("Status: 503"));
+  Stream again = site.client();
+  again.write(request(1, booking));
+  const auto heard = site.caches.next(2'000);
+  answered = heard.has_value();
+  REQUIRE(answered);
+  CHECK(heard->id == booking.id);
+  heard->say("DONE", "remark=hit", "booked");
+  CHECK(answer(again).body == "booked");
+}
+
 TEST_CASE("Nothing is begun for a client that sent its requests and left before they were read") {
   Site site;
   site.start();
--- a/tests/daily_process_test.cpp
+++ b/tests/daily_process_test.cpp
@@ -343,6 +343,33 @@
   }
 }
 
+// Guards against a booking that ran twice: its client left the old process and sent it again to the new one
+// (issue 38).
+TEST_CASE("A booking that may have run at the old process does not run at the new one") {
+  Daily site;
+  site.start();
+  REQUIRE(site.ready(site.door));
+  const Ask booking = numbered(1, "book-slot");
+  Stream client = site.client();
+  client.write(request(1, booking));
+  CHECK(site.caches.next().id == booking.id);
+  auto next = site.another(site.around(site.second_door));
+  const Stream bus = site.bus_joined();
+  REQUIRE(site.ready(site.second_door));
+  site.ops("GET", "/_ready");  // from now on the old one accepts nobody
+  client = Stream();
+  CHECK(site.caches.next().verb == "abort");
+  Stream again = site.client();
+  again.write(request(1, booking));
+  CHECK(answer(again).has("Status: 409"));
+  const Ask other = numbered(2, "book-slot");
+  again.write(request(2, other));
+  const Heard heard = site.caches.next();
+  CHECK(heard.id == other.id);
+  heard.say("DONE", "remark=hit", "whole");
+  CHECK(answer(again).body == "whole");
+}
+
 TEST_CASE("The door answers while clients hold all the connections that the front takes") {
   Daily site;
   site.change("\"sockets\":1024", "\"sockets\":64");
--- a/tests/daily_test.cpp
+++ b/tests/daily_test.cpp
@@ -21,6 +21,7 @@
 #include "handover/discovery.hpp"
 #include "handover/folder.hpp"
 #include "handover/learned.hpp"
+#include "handover/run_ledger.hpp"
 #include "handover/sealed.hpp"
 #include "handover/state.hpp"
 #include "holds/holds.hpp"
@@ -760,3 +761,25 @@
     REQUIRE(said.empty());
   }
 }
+
+// Guards against two processes that each begin the same request (issue 38).
+TEST_CASE("a claim binds both processes until it is released or old") {
+  const Folder folder;
+  const std::string path = folder.path + "/runs";
+  handover::RunLedger first(path), second(path), alone("");
+  REQUIRE((first.shared() && second.shared() && !alone.shared()));
+  CHECK(first.claim(7, 1'000));
+  CHECK_FALSE(first.claim(7, 1'001));
+  CHECK_FALSE(second.claim(7, 1'060));
+  CHECK(alone.claim(7, 1'000));
+  CHECK(second.claim(8, 1'000));
+  second.release(7);
+  CHECK(first.claim(7, 1'010));
+  CHECK(second.claim(7, 1'010 + handover::RunLedger::kKeptSeconds + 1));
+  CHECK_FALSE(handover::RunLedger(folder.path + "/none/runs").shared());
+  // Far more than there is room for: each is claimed once, and the latest are known.
+  for (std::uint64_t n = 0; n < 100'000; ++n) {
+    CHECK(alone.claim(1'000 + n, 2'000));
+    if (n % 100 == 0) CHECK_FALSE(alone.claim(1'000 + n, 2'000));
+  }
+}
--- a/tests/doorman_test.cpp
+++ b/tests/doorman_test.cpp
@@ -17,9 +17,12 @@
 
 namespace {
 
+// Each has an id of its own, as every request of a client has.
 Ask booking(int patience_ms = 10'000) {
+  static std::uint64_t bookings = 0;
   Ask a;
   a.cls = "book-slot";
+  a.id = hex16(0x77000u + ++bookings);
   a.patience_ms = patience_ms;
   a.body = "seat=7";
   return a;
