Let a log that nobody reads fail its write instead of ending the process

What callers saw: when whoever reads the log has gone, the next line (counters, a configuration that is in force) ended the process by SIGPIPE, and all that it had taken was lost. SIGXFSZ of a file in TMPDIR that may not grow would do the same.

Cause: both signals end a process by default, and neither was set otherwise; sockets were safe, standard error was not.

Fix: both are ignored, the write fails and is passed over.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -57,6 +57,11 @@
   return signals;
 }
 
+// A log that nobody reads any more, or a file that may not grow, fails its write and ends nobody.
+void ignore_failed_writes() {
+  for (const int signal : {SIGPIPE, SIGXFSZ}) ::signal(signal, SIG_IGN);
+}
+
 int start() {
   service::Surroundings around;
   around.config_path = environment("RELAY_CONFIG");
@@ -81,6 +86,7 @@
 int main() {
   const sigset_t signals = anisewick::waiting_signals();
   ::sigprocmask(SIG_BLOCK, &signals, nullptr);
+  anisewick::ignore_failed_writes();
   anisewick::service::bound_allocator();
   try {
     return anisewick::start();
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -188,6 +188,24 @@
   CHECK(site.program->wait().first == 0);
 }
 
+// Guards against a process that ends by itself as it writes a line to a log that nobody reads any more (issue
+// 38).
+TEST_CASE("A log whose reader has gone does not end the program") {
+  Site site;
+  site.start();
+  Stream client = resting(site, 1);
+  site.program->close_errors();
+  for (int n = 2; n < 6; ++n) {
+    site.program->signal(n % 2 == 0 ? SIGUSR1 : SIGHUP);
+    client.write(request(1, numbered(n)));
+    site.caches.next().say("DONE", "remark=hit", "whole");
+    CHECK(answer(client).body == "whole");
+  }
+  CHECK(site.program->running());
+  site.program->signal(SIGTERM);
+  CHECK(site.program->code() == 0);
+}
+
 // ---- Clients that leave
 
 // Guards against a booking that ran twice: its client left while it was at a server, and the same id came
--- a/tests/peers.hpp
+++ b/tests/peers.hpp
@@ -117,6 +117,12 @@
     ::setsockopt(fd_.get(), SOL_SOCKET, SO_LINGER, &now, sizeof now);
     fd_ = Fd();
   }
+  // Reads what comes within the time, and forgets it.
+  void drop(int ms) {
+    char some[65536];
+    if (readable(fd_.get(), ms)) (void)!::recv(fd_.get(), some, sizeof some, 0);
+  }
+  void shut() { ::shutdown(fd_.get(), SHUT_RDWR); }
   int fd() const { return fd_.get(); }
   bool buffered() const { return !got_.empty(); }
 
@@ -207,6 +213,8 @@
     if (c != '\n') throw std::runtime_error("no line: " + text);
     return text;
   }
+  // Whoever read what it says has gone.
+  void close_errors() { err_ = Fd(); }
   // Nobody reads what it says: it must not wait for that.
   void drain_errors() {
     reader_ = std::thread([fd = err_.get(), log = std::getenv("ANISEWICK_TEST_LOG")] {
