--- a/tests/memory_test.cpp
+++ b/tests/memory_test.cpp
@@ -231,6 +231,56 @@
   CHECK(site.program->wait().first == 0);
 }
 
+// Guards against one client at full speed that delays all others, or fills memory with ever new names (issue
+// 38).
+TEST_CASE("One client at full speed delays nobody, whatever it sends") {
+  enum class Sends { kUnknownClasses, kNewObjects, kCancelled };
+  const Sends sends = GENERATE(Sends::kUnknownClasses, Sends::kNewObjects, Sends::kCancelled);
+  INFO("sends " << static_cast<int>(sends));
+  SmallSite site;
+  site.start();
+  REQUIRE(site.ready(site.door));
+  const std::string small(kLargest * 10 / 4125, 's');
+  Serving serving(site.caches, [&](const Heard &) { return small; });
+  Stream bad = site.client();
+  std::atomic<bool> over = false;
+  std::thread reads([&] {
+    while (!over) bad.drop(50);
+  });
+  std::thread writes([&] {
+    try {
+      for (std::uint64_t n = 1; !over; ++n) {
+        std::string bytes;
+        for (int id = 1; id <= 20; ++id) {
+          Ask ask = numbered(1'000'000 + 100 * n + static_cast<std::uint64_t>(id));
+          ask.size = "1.0";
+          if (sends == Sends::kUnknownClasses) ask.cls = "class-" + std::to_string(n);
+          bytes += request(id, ask);
+          if (sends == Sends::kCancelled) bytes += record(2, id, "");
+        }
+        bad.write(bytes);
+      }
+    } catch (const std::exception &) {  // its connection was ended
+    }
+  });
+  double most = 0;
+  Usual usual;
+  {
+    const Sampler sampler(*site.program, most);
+    usual = ask_as_usual(site, kFloodMs / 2);
+  }
+  over = true;
+  bad.shut();
+  writes.join();
+  reads.join();
+  INFO(most << " MB; " << usual.served << " served, " << usual.refused << " refused, " << usual.other
+            << " other, longest " << usual.longest_ms << " ms");
+  CHECK(most < kLimitMb);
+  CHECK(usual.other == 0);
+  CHECK(usual.served > 10 * usual.refused);
+  CHECK(usual.longest_ms < kDeadlineMs);
+}
+
 // Guards against buffers that keep the size of the largest answer they carried
 // for as long as their connection lives, outside any account (review/4).
 TEST_CASE("Connections keep nothing of the large answers that they carried") {
