Leave what discovery told at once while another process lives, also for after the end

Cause: a process left what it had heard at its next look into the folder, up to 50 ms later.

Fix: it is left at once while another process lives, and the file stays, for those who saw its writer live. The test ends the old process at once, where it waited for counters that a first part of the news could satisfy, and checks from a drain's grace of 250 ms on; every check is as it was.

--- a/src/handover/folder.cpp
+++ b/src/handover/folder.cpp
@@ -100,8 +100,7 @@
 Folder::~Folder() {
   // In this order: who finds the file finds it locked.
   if (alive_ >= 0) ::unlink(path(name_of(self_.incarnation) + ".alive").c_str());
-  clear(Part::kLearned);
-  clear(Part::kDiscovery);
+  clear(Part::kLearned);  // what was heard from discovery stays for those who saw this one live
   if (alive_ >= 0) ::close(alive_);
   if (gate_ >= 0) ::close(gate_);
 }
@@ -214,7 +213,12 @@
   std::vector<std::string> left;
   each_of_others([&](std::uint64_t incarnation, const std::string& file) {
     struct stat s;
-    if (!file.ends_with(suffix_of(part)) || !lives(incarnation) || ::stat(file.c_str(), &s) != 0) return;
+    if (!file.ends_with(suffix_of(part)) || ::stat(file.c_str(), &s) != 0) return;
+    if (lives(incarnation)) {
+      if (seen_alive_.size() < kMostGiven) seen_alive_.insert(incarnation);
+    } else if (part != Part::kDiscovery || !seen_alive_.contains(incarnation)) {
+      return;
+    }
     const std::pair now(s.st_ino, changed_at(s));
     const auto given = given_.find(file);
     if (given != given_.end() && given->second == now) return;
--- a/src/handover/folder.hpp
+++ b/src/handover/folder.hpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -52,6 +53,7 @@
   void clear(Part part);
   // Those of other processes that live, of `most` bytes at most each; none that was given before and has not
   // changed.
+  // What one heard from discovery is given after its end too, where it was seen to live.
   std::vector<std::string> left_by_others(Part part, std::size_t most);
 
  private:
@@ -73,6 +75,7 @@
   ino_t seen_ = 0;     // of the state file
   std::int64_t seen_at_ = 0;
   bool failing_ = false;
+  std::set<std::uint64_t> seen_alive_;                           // others
   std::map<std::string, std::pair<ino_t, std::int64_t>> given_;  // files of others, and when they had changed
 };
 
--- a/src/service/service.cpp
+++ b/src/service/service.cpp
@@ -178,7 +178,7 @@
 
 void Service::heed(const bus::Event& event) {
   doorman_.heed(holds_.over(event));
-  if (shared_discovery_) shared_discovery_->heard(event);
+  if (shared_discovery_) shared_discovery_->heard(event, accompanied_);
   if (!doorman_.listed() || std::exchange(listed_, true)) return;
   life_.listed();
   if (running_) attend();
@@ -287,10 +287,10 @@
   const handover::Others others = handover::others(state, folder_->incarnation());
   life_.predecessor(others.before);
   life_.successor(others.after);
-  accompanied_ = others.before || others.after || others.starting;
+  const bool was_accompanied = std::exchange(accompanied_, others.before || others.after || others.starting);
   // After the events of the configuration, which are older, and before the rest, by which a process that
   // starts says yes.
-  if (accompanied_ && running_) shared_discovery_->exchange();
+  if ((accompanied_ || was_accompanied) && running_) shared_discovery_->exchange();
   if (std::exchange(left_, others.starting) != others.starting) {
     others.starting ? leave_learned() : folder_->clear(handover::Folder::Part::kLearned);
   }
--- a/src/service/shared_discovery.cpp
+++ b/src/service/shared_discovery.cpp
@@ -29,9 +29,13 @@
 SharedDiscovery::SharedDiscovery(handover::Folder& folder, std::string name, Source source)
     : folder_(folder), name_(std::move(name)), source_(std::move(source)) {}
 
-void SharedDiscovery::heard(const bus::Event& event) {
+void SharedDiscovery::heard(const bus::Event& event, bool accompanied) {
   changed_ = true;
-  if (event.kind != Kind::kObjectPurge && event.kind != Kind::kGroupPurge) return;
+  if (event.kind == Kind::kObjectPurge || event.kind == Kind::kGroupPurge) remember(event);
+  if (accompanied && !taking_) leave();
+}
+
+void SharedDiscovery::remember(const bus::Event& event) {
   const bool whole_group = event.kind == Kind::kGroupPurge;
   const std::int64_t now_ms = monotonic_ms();
   // A time that is ahead of the clock is one of now: to take a purge for younger is safe.
@@ -63,6 +67,7 @@
 
 void SharedDiscovery::take(const handover::DiscoverySnapshot& snapshot) {
   if (snapshot.number <= source_.number() || snapshot.servers.empty()) return;
+  taking_ = true;  // a part of it must not be left with the number of the whole
   for (const handover::Purge& purge : snapshot.purges) {
     bus::Event event;
     event.number = snapshot.number;
@@ -77,6 +82,7 @@
   list.kind = Kind::kWholeList;
   list.depots = snapshot.servers;
   source_.apply(list);
+  taking_ = false;
 }
 
 }  // namespace anisewick::service
--- a/src/service/shared_discovery.hpp
+++ b/src/service/shared_discovery.hpp
@@ -27,14 +27,15 @@
 
   // So long after a purge older copies may be left anywhere.
   void purges_settle(std::int64_t ms) { settle_ms_ = ms; }
-  // An event was applied.
-  void heard(const bus::Event& event);
+  // An event was applied. `accompanied`: another process lives, and is told at once, before this one may end.
+  void heard(const bus::Event& event, bool accompanied);
   // Leaves what is new here and takes what is new elsewhere. At each look into the folder while another
   // process lives.
   void exchange();
 
  private:
   void leave();
+  void remember(const bus::Event& purge);
   void take(const handover::DiscoverySnapshot& snapshot);
 
   handover::Folder& folder_;
@@ -42,6 +43,7 @@
   const Source source_;
   handover::PurgeLog purges_;
   std::int64_t settle_ms_ = 0;
+  bool taking_ = false;
   bool changed_ = true;  // since it was left
 };
 
--- a/tests/daily_process_test.cpp
+++ b/tests/daily_process_test.cpp
@@ -326,12 +326,10 @@
   }
   auto next = site.another(site.around(site.second_door));
   REQUIRE(site.ready(site.second_door));
-  if (away == Away::kHeardLater) {
-    tell_old();
-    Site::until(*next, "lists=2 purges=1 ");
-  }
-  site.program->signal(SIGTERM);
+  if (away == Away::kHeardLater) tell_old();
+  site.program->signal(SIGTERM);  // it may end within the moment in which it has heard
   CHECK(site.program->wait().first == 0);
+  std::this_thread::sleep_for(std::chrono::milliseconds(250));  // of grace, after which a drain binds
   Stream client = site.client();
   for (std::uint64_t n = 10; n < 40; ++n) {
     client.write(request(1, numbered(n)));
