Review: purge in case 8 only after all requests wait

Seen: beside a busy machine only 2 to 6 of the 6 requests were picked before the purge. Cause: the purge came 10 ms after the clients' threads were started, and not after they had written.

--- a/review/stand-2/latepurge.cpp
+++ b/review/stand-2/latepurge.cpp
@@ -97,11 +97,12 @@
     sleep_ms(50);
     record.say("%s takes no connection", a.name().c_str());
   }
-  std::atomic<int> served{0}, unanswered{0};
+  std::atomic<int> asking{0}, served{0}, unanswered{0};
   std::vector<std::thread> clients;
   for (int i = 0; i < kObjects; ++i) {
     clients.emplace_back([&, i] {
       Client client(c.listen);
+      ++asking;
       const Answer answer = client.ask(
           request("guide-video", static_cast<std::uint64_t>(1 + i), object_of(i), 5000, kGroup), 6000);
       record.say("client: object %s: status %d", hex16(object_of(i)).c_str(), answer.status);
@@ -109,7 +110,8 @@
       unanswered += answer.whole ? 0 : 1;
     });
   }
-  sleep_ms(10);
+  while (asking < kObjects) sleep_ms(1);
+  sleep_ms(20);  // by then the doorman has read what they wrote
   {
     const Lock lock(mutex);
     purged = unix_ms();
