Hold each answer of a server against the request that it names

A booking that was answered WAIT, LACK or PAST with bytes was sent again. A cache box renewed its copy by a KEEP for another, and kept a copy under a group that was not its request's, whose purges then missed it.

Cause: the pool found an answer's request by its id and looked at nothing else. KEEP was taken wherever some tag had gone out; `waited` was converted even where it was nan or inf.

Fix: depot::answers holds an answer against the facts of its request (tag, group) and against itself. A contradicting one ends its attempt as an error that may have run; other requests on the connection go on, and nothing new goes there. `waited` is finite, at least 0, and at most the time since the request went out. New counter: contradicting_answers.

--- a/src/cachebox/box.cpp
+++ b/src/cachebox/box.cpp
@@ -545,8 +545,11 @@
   if (fill.candidate) fetch.seen = fill.candidate->about.tag;
   ++counters_.fill_tries;
   fill.handle =
-      pool_.send({fill.source, fetch.from, own, [bytes = depot::fetch_bytes(fetch)] { return bytes; },
-                  !fetch.seen.empty()},
+      pool_.send({fill.source,
+                  fetch.from,
+                  own,
+                  [bytes = depot::fetch_bytes(fetch)] { return bytes; },
+                  {std::string(fetch.seen), fill.request.group}},
                  [this, id](links::UpstreamPool::Reply&& reply) { fill_ended(id, std::move(reply)); });
   fill.timer.expires_after(std::chrono::milliseconds(time));
   fill.timer.async_wait([this, id, handle = fill.handle](Error error) {
--- a/src/depot/depot.cpp
+++ b/src/depot/depot.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <utility>
 
 #include "depot/fields.hpp"
@@ -91,8 +92,10 @@
     if (name == "remark") {
       const auto r = std::find(kRemarks.begin(), kRemarks.end(), value);
       if (r != kRemarks.end()) answer_.remark = static_cast<int>(r - kRemarks.begin()) + 1;
-    } else if (name == "waited" && !number(value, answer_.waited_ms)) {
-      return false;
+    } else if (name == "waited") {
+      // "nan" and "inf" are numbers to the parser.
+      if (!number(value, answer_.waited_ms) || !std::isfinite(answer_.waited_ms)) return false;
+      if (answer_.waited_ms < 0.0) return false;
     } else if (name == "ver") {
       answer_.tag = std::string(value);
     } else if (name == "born" && !number(value, answer_.born_ms)) {
--- a/src/links/counters.hpp
+++ b/src/links/counters.hpp
@@ -73,12 +73,13 @@
 };
 
 struct Counters {
-  std::uint64_t sent = 0;                  // requests whose first byte may have gone out
-  std::uint64_t late_answers = 0;          // to requests given up before: dropped
-  std::uint64_t links = 0;                 // connections to depots that were begun
-  std::uint64_t connects_failed_here = 0;  // for a lack of this machine's, and begun again
-  std::uint64_t bus_lost = 0;              // times the event bus was lost or could not be reached
-  Tallies* tallies = nullptr;              // none: no reports are wanted
+  std::uint64_t sent = 0;                   // requests whose first byte may have gone out
+  std::uint64_t late_answers = 0;           // to requests given up before: dropped
+  std::uint64_t contradicting_answers = 0;  // readable, but none to the request that they name
+  std::uint64_t links = 0;                  // connections to depots that were begun
+  std::uint64_t connects_failed_here = 0;   // for a lack of this machine's, and begun again
+  std::uint64_t bus_lost = 0;               // times the event bus was lost or could not be reached
+  Tallies* tallies = nullptr;               // none: no reports are wanted
 
   void tally(depot::Id id, Tally::What what, std::uint32_t n = 1) {
     if (tallies != nullptr) tallies->add(id, what, n);
--- a/src/links/upstream_pool.cpp
+++ b/src/links/upstream_pool.cpp
@@ -28,6 +28,7 @@
 // came up proves that nothing ran.
 constexpr auto kHeardLately = std::chrono::seconds(1);
 constexpr auto kReadAgain = std::chrono::milliseconds(10);  // where there was no room for more of an answer
+constexpr double kNanosecondsPerMs = 1e6;
 constexpr std::size_t kSpare = 8;  // connections beyond the limit, for depots that have none that will do
 
 // A lack of this machine or of this process, not of the server: descriptors, memory, local addresses, a
@@ -55,6 +56,12 @@
   return reply;
 }
 
+// How long the server says that it waited for its source: at most since it was asked.
+Time waited_of(const depot::Answer& answer, Clock::time_point asked_at) {
+  const std::chrono::duration<double, std::milli> since_asked = Clock::now() - asked_at;
+  return static_cast<Time>(std::min(answer.waited_ms, since_asked.count()) * kNanosecondsPerMs);
+}
+
 End end_of(depot::Word word) {
   switch (word) {
     case depot::Word::kDone:
@@ -385,11 +392,11 @@
       if (std::find(served_.begin(), served_.end(), a.id) != served_.end()) retire();
       return;
     }
+    if (!depot::answers(it->second.order.facts, a)) return refuse_answer(a.id);
     Reply reply;
     reply.report.end = end_of(a.word);
-    if (a.word == depot::Word::kKeep && (!it->second.order.tagged || !a.body.empty())) return fail();
     reply.report.remark = a.remark;
-    reply.report.waited = static_cast<Time>(a.waited_ms * 1e6);
+    reply.report.waited = waited_of(a, it->second.at);
     reply.same = a.word == depot::Word::kKeep;
     reply.body = std::move(a.body);
     reply.tag = std::move(a.tag);
@@ -398,6 +405,14 @@
     finish(a.id, std::move(reply));
   }
 
+  // The server has the request, and what it says of it cannot be believed: it may have run. What else is open
+  // here may still be answered, but nothing new goes this way.
+  void refuse_answer(const std::string& id) {
+    ++pool_.counters_.contradicting_answers;
+    finish(id, ended(End::kBroke));
+    retire();
+  }
+
   // Depots close what has been idle for a set time. A request sent at that moment could not be told from one
   // that ran, so we close earlier.
   void watch() {
--- a/src/links/upstream_pool.hpp
+++ b/src/links/upstream_pool.hpp
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "bus/bus.hpp"
+#include "depot/answer_check.hpp"
 #include "depot/depot.hpp"
 #include "depot/end.hpp"
 #include "links/asio.hpp"
@@ -35,9 +36,9 @@
     std::string id;  // the client's, by which the depot answers
     // Makes the request's bytes in the moment in which they go out: the time it tells is what is left then.
     std::function<std::string()> bytes;
-    bool tagged = false;  // it names the client's copy, so that copy may be the answer
-    std::int64_t begin_by =
-        0;                  // by steady_unix_now: not written from then on, but unreached; 0: no such bound
+    depot::RequestFacts facts;  // what its answer has to agree with
+    // By steady_unix_now: not written from then on, but unreached; 0: no such bound.
+    std::int64_t begin_by = 0;
     std::uint64_t tag = 0;  // of the caller's own
     int moved = 0;          // from connections that ended, or did not come up, before it was sent
   };
--- a/src/net/counters.hpp
+++ b/src/net/counters.hpp
@@ -60,7 +60,8 @@
       << " refused=" << c.refused << " failed=" << c.failed << "; depots: sent=" << c.sent
       << " done=" << c.done << " kept=" << c.kept << " lacks=" << c.lacks << " full=" << c.full
       << " broke=" << c.broke << " over=" << c.over << " late=" << c.late << " unreached=" << c.unreached
-      << " reset=" << c.reset << " late_answers=" << c.late_answers << " links=" << c.links
+      << " reset=" << c.reset << " late_answers=" << c.late_answers
+      << " contradicting_answers=" << c.contradicting_answers << " links=" << c.links
       << "; bus: lists=" << c.lists << " purges=" << c.purges << " lost=" << c.bus_lost
       << " reloads=" << c.reloads << "; given up:";
   for (const auto& [why, n] : c.given_up) out << ' ' << why << '=' << n;
--- a/src/net/doorman.cpp
+++ b/src/net/doorman.cpp
@@ -209,7 +209,8 @@
   if (step.source) counters_.tally(*step.source, Tally::kFills);
   // The pool lets go of the order before the request ends.
   const auto bytes = [&call, step] { return depot::fetch_bytes(fetch_of(call, step, steady_unix_now())); };
-  UpstreamPool::Order order{step.depot, step.source, call.id, bytes, !call.tag.empty()};
+  UpstreamPool::Order order{step.depot, step.source, call.id, bytes, {}};
+  order.facts.seen = call.tag;
   order.begin_by = step.begin_by;
   order.tag = ticket;
   open.sent = depots_.send(std::move(order),
--- a/src/standin/site.cpp
+++ b/src/standin/site.cpp
@@ -173,9 +173,10 @@
     depot::Told told;
     told.tag = tag;
     told.born_ms = unix_ms() + ways.clock_ms;
-    if (ways.tells_group) told.group = static_cast<int>(r.object & 0xff);
+    if (ways.tells_group) told.group = static_cast<int>(r.object & 0xff) + ways.group_noise;
     if (r.seen == tag) {
       ++counts.keeps;
+      if (!ways.kept_tag.empty()) told.tag = ways.kept_tag;
       return depot::answer_bytes(r.id, depot::Word::kKeep, told);
     }
     const std::string bytes =
--- a/src/standin/site.hpp
+++ b/src/standin/site.hpp
@@ -30,6 +30,8 @@
     enum class Answer { kServe, kWait, kBroke, kReset, kSilent, kGarbage } answer = Answer::kServe;
     int answers = -1;         // so many, and then it serves again; -1: always
     bool tells_group = true;  // its objects' groups are their lowest byte
+    int group_noise = 0;      // added to the group that it tells
+    std::string kept_tag;     // told with KEEP in place of the true one; empty: the true one
   };
   explicit Origin(std::uint16_t port = 0);
   ~Origin();
--- a/tests/cachebox_test.cpp
+++ b/tests/cachebox_test.cpp
@@ -454,6 +454,47 @@
   }
 }
 
+// Guards against a copy that is taken for current by an answer that names another one (review/10).
+TEST_CASE("a copy is renewed only by an answer that names it") {
+  Site site;
+  standin::Origin::Ways ways;
+  BoxRun box({site.bus.port()});
+  known(site, box);
+  Asker asker(box.port());
+  Asker::Want page = want(1);
+  page.cls = "slot-page";
+  ways.clock_ms = -9000;  // past its fresh time
+  site.origin.ways(ways);
+  REQUIRE(how(asker.ask(page)) == kFilled);
+  ways.clock_ms = 0;
+  ways.kept_tag = "another";
+  site.origin.ways(ways);
+  CHECK(how(asker.ask(page)) < 0);
+  CHECK(site.origin.counts().keeps >= 1);
+  CHECK(box.counters().confirmed == 0);
+  ways.kept_tag.clear();
+  site.origin.ways(ways);
+  CHECK(how(asker.ask(page)) == kFilled);
+}
+
+// Guards against a copy that its group's purges miss, for noise in the group that came with it.
+TEST_CASE("a copy is not kept under another group than its request's") {
+  Site site;
+  standin::Origin::Ways ways;
+  ways.group_noise = 1;
+  site.origin.ways(ways);
+  BoxRun box({site.bus.port()});
+  known(site, box);
+  Asker asker(box.port());
+  Asker::Want grouped = want(1);
+  grouped.group = 1;
+  CHECK(how(asker.ask(grouped)) < 0);
+  CHECK(how(asker.ask(look(1))) == kLack);
+  ways.group_noise = 0;
+  site.origin.ways(ways);
+  CHECK(how(asker.ask(grouped)) == kFilled);
+}
+
 TEST_CASE("without the event bus no old copy is served unasked") {
   Site site;
   Folder folder;
--- a/tests/doorman_test.cpp
+++ b/tests/doorman_test.cpp
@@ -78,6 +78,46 @@
   CHECK((a.has("Status: 200") && a.has("X-Ok304: 1") && a.body.empty()));
 }
 
+// Guards against a client that is told to use its copy by an answer that names another one (review/10).
+TEST_CASE("A client's copy is called current only by an answer that names it") {
+  Site site;
+  site.start();
+  Stream client = site.client();
+  Ask ask = numbered(1);
+  ask.tag = "4be0c1927d55a6f3";
+  const std::vector<std::pair<std::string, std::function<void(const Heard&)>>> contradicting{
+      {"another copy", [](const Heard& h) { h.say("KEEP", "ver=4bexc192xd5xa6f3,born=1,remark=hit"); }},
+      {"a longer tag", [](const Heard& h) { h.say("KEEP", "ver=4be0c1927d55a6f30,born=1,remark=hit"); }},
+      {"no copy", [](const Heard& h) { h.say("KEEP", "born=1,remark=hit"); }},
+      {"bytes", [](const Heard& h) { h.say("KEEP", "ver=4be0c1927d55a6f3,born=1", "bytes"); }},
+  };
+  for (const auto& [what, answer_so] : contradicting) {
+    INFO(what);
+    client.write(request(1, ask));
+    answer_so(site.caches.next());
+    const Heard again = site.caches.next();
+    CHECK((again.verb == "fetch" && again.id == ask.id));
+    again.say("DONE", "ver=aa,born=1,remark=hit", "whole");
+    const Answer a = answer(client);
+    CHECK((a.body == "whole" && !a.has("X-Ok304")));
+  }
+  CHECK(site.program->counters().find("contradicting_answers=4 ") != std::string::npos);
+}
+
+// Guards against a repeat of what may have run, by a word that its own answer contradicts.
+TEST_CASE("An answer that says that nothing ran and brings bytes proves nothing") {
+  Site site;
+  site.start();
+  Stream client = site.client();
+  for (const char* word : {"WAIT", "LACK", "PAST"}) {
+    INFO(word);
+    client.write(request(1, booking()));
+    site.caches.next().say(word, "-", "booked");
+    CHECK(failed(answer(client)));
+    CHECK_FALSE(site.caches.next(100));
+  }
+}
+
 TEST_CASE("A booking that may have run is never sent again and never refused") {
   Site site;
   site.start();
