Take no copy for younger than its answer in the cache box

What callers would see: a copy with a birth in the future (noise in `born`, or a source whose clock is ahead) outlived every purge told before that time, and was served as fresh.

Cause: `born` was kept as told, and purges and ages are reckoned from it.

Fix: a birth after the answer came counts as not told, so the copy is as old as the request for it. This is conservative: beside a source whose clock is ahead, a copy is at worst fetched once more.

--- a/src/cachebox/box.cpp
+++ b/src/cachebox/box.cpp
@@ -593,7 +593,9 @@
     copy.about.tag = std::move(reply.tag);
   }
   // A source that does not tell when the origin gave it out may have had it for long: no later than we asked.
-  const std::int64_t born = reply.born_ms > 0 ? reply.born_ms : fill.sent_ms;
+  // Nor can the origin have given it out after it came here.
+  const bool born_told = reply.born_ms > 0 && reply.born_ms <= now;
+  const std::int64_t born = born_told ? reply.born_ms : fill.sent_ms;
   copy.about.born_ms = reply.same ? std::max(copy.about.born_ms, born) : born;
   if (reply.group != depot::kUnknownGroup) copy.about.group = reply.group;
   if (copy.about.group == depot::kUnknownGroup) copy.about.group = fill.request.group;
--- a/tests/cachebox_test.cpp
+++ b/tests/cachebox_test.cpp
@@ -477,6 +477,22 @@
   CHECK(how(asker.ask(page)) == kFilled);
 }
 
+// Guards against a copy that outlives its purge by a time of birth that has not come yet.
+TEST_CASE("a copy that is told to be born in the future is purged like any other") {
+  Site site;
+  standin::Origin::Ways ways;
+  ways.clock_ms = 3'600'000;
+  site.origin.ways(ways);
+  BoxRun box({site.bus.port()});
+  known(site, box);
+  Asker asker(box.port());
+  REQUIRE(how(asker.ask(want(1))) == kFilled);
+  REQUIRE(how(asker.ask(look(1))) == kHit);
+  std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  site.bus.purge(1, unix_ms());
+  CHECK(soon([&] { return how(asker.ask(look(1))) == kLack; }, 3000));
+}
+
 // Guards against a copy that its group's purges miss, for noise in the group that came with it.
 TEST_CASE("a copy is not kept under another group than its request's") {
   Site site;
