Check a configuration by one table of keys, at the start as at SIGHUP

What callers saw: SIGHUP brought a class without aim_stretch, which may be absent, and made another one single-shot.

Cause: the keys that a new file must have were those that all objects of the file in force happened to have, but for `known`; at the start whatever has a default could be missing.

A list told per class with another number of values than classes tells nothing: it is passed over and named in the log, and a class that is not free then counts as never kept.

The files of tests have the keys that are now required (credit, drain_grace, cancel).

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -5,7 +5,6 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
-#include <iterator>
 #include <optional>
 #include <utility>
 
@@ -112,7 +111,38 @@
   return c;
 }
 
-anisewick::Settings settings_from(element e, std::vector<std::string>& classes) {
+// A list with one value a class, in the order of the classes. With more or fewer nobody can tell whose each
+// is: then it tells nothing, and `remarks` says so.
+template <typename T>
+std::vector<T> list_by_class(element family, std::string_view key, std::size_t classes,
+                             std::vector<std::string>& remarks) {
+  auto values = list<T>(family, key);
+  if (values.size() == classes || !find(family, key)) return values;
+  remarks.push_back("'settings.family_info." + std::string(key) + "' is passed over: it has " +
+                    std::to_string(values.size()) + " values for " + std::to_string(classes) + " classes");
+  return {};
+}
+
+void tell_classes(element family, std::vector<ClassSettings>& classes, std::vector<std::string>& remarks) {
+  const std::size_t n = classes.size();
+  const auto fresh = list_by_class<std::int64_t>(family, "class_fresh", n, remarks);
+  const auto grace = list_by_class<std::int64_t>(family, "grace_for", n, remarks);
+  const auto aged = list_by_class<double>(family, "aged_worth", n, remarks);
+  const auto parts = list_by_class<bool>(family, "in_parts", n, remarks);
+  const auto never = list_by_class<bool>(family, "never_kept", n, remarks);
+  for (std::size_t i = 0; i < n; ++i) {
+    ClassSettings& c = classes[i];
+    // Where it is not told, what may not simply be repeated is taken for a write, which no cache may answer.
+    c.never_kept = never.empty() ? c.repeat != anisewick::Repeat::kSafe : never[i];
+    if (!fresh.empty()) c.fresh = fresh[i];
+    if (!grace.empty()) c.grace = grace[i];
+    if (!aged.empty()) c.stale_worth = aged[i];
+    if (!parts.empty()) c.in_parts = parts[i];
+  }
+}
+
+anisewick::Settings settings_from(element e, std::vector<std::string>& classes,
+                                  std::vector<std::string>& remarks) {
   anisewick::Settings s;
   s.index = get<int>(e, "index", 0);
   s.fronts = get<int>(e, "n_instances", 1);
@@ -129,19 +159,7 @@
     throw Bad("'categories' has none or too many classes");
   }
   const element family = need(e, "family_info");
-  const auto fresh = list<std::int64_t>(family, "class_fresh");
-  const auto grace = list<std::int64_t>(family, "grace_for");
-  const auto aged = list<double>(family, "aged_worth");
-  const auto parts = list<bool>(family, "in_parts");
-  const auto never = list<bool>(family, "never_kept");
-  for (std::size_t i = 0; i < s.classes.size(); ++i) {
-    ClassSettings& c = s.classes[i];
-    if (i < fresh.size()) c.fresh = fresh[i];
-    if (i < grace.size()) c.grace = grace[i];
-    if (i < aged.size()) c.stale_worth = aged[i];
-    if (i < parts.size()) c.in_parts = parts[i];
-    if (i < never.size()) c.never_kept = never[i];
-  }
+  tell_classes(family, s.classes, remarks);
   s.zone_hub = list<int>(family, "zone_hub");
   s.zone_fronts = list<int>(family, "seats_by_zone");
   s.parent_kind = get<int>(family, "mid_kind", -1);
@@ -225,33 +243,6 @@
   return event;
 }
 
-// The paths of all keys in the objects of a file; of a list of objects, those that all of them have.
-void keys_of(element e, const std::string& path, std::vector<std::string>& out) {
-  simdjson::dom::object object;
-  simdjson::dom::array list;
-  if (e.get(object) == simdjson::SUCCESS) {
-    for (const auto field : object) {
-      if (field.value.is_null() || (path.empty() && field.key == "known")) continue;
-      const std::string at = (path.empty() ? "" : path + ".") + std::string(field.key);
-      out.push_back(at);
-      keys_of(field.value, at, out);
-    }
-  } else if (e.get(list) == simdjson::SUCCESS) {
-    std::vector<std::string> common, of_one, both;
-    bool first = true;
-    for (const element one : list) {
-      of_one.clear();
-      keys_of(one, path + "[]", of_one);
-      std::sort(of_one.begin(), of_one.end());
-      both.clear();
-      std::set_intersection(common.begin(), common.end(), of_one.begin(), of_one.end(),
-                            std::back_inserter(both));
-      common = std::exchange(first, false) ? of_one : both;
-    }
-    out.insert(out.end(), common.begin(), common.end());
-  }
-}
-
 }  // namespace
 
 Endpoint endpoint_from(std::string_view text) {
@@ -276,8 +267,9 @@
   if (const auto error = parser.parse(json.data(), json.size()).get(e); error != simdjson::SUCCESS) {
     throw Bad(std::string("not JSON: ") + simdjson::error_message(error));
   }
+  if (const std::string missing = missing_key(e); !missing.empty()) throw Bad(missing);
   Config c;
-  c.name = get<std::string>(e, "name", "");
+  c.name = need<std::string>(e, "name");
   c.listen = endpoint_from(need<std::string>(e, "listen"));
   c.bus = endpoint_from(need<std::string>(e, "bus"));
   if (const auto ops = find(e, "ops")) c.ops = endpoint_from(value_of<std::string>(*ops, "ops"));
@@ -285,7 +277,7 @@
   c.memory_mb = need<std::uint64_t>(limits, "memory_mb");
   c.sockets = need<std::uint64_t>(limits, "sockets");
   const element settings = need(e, "settings");
-  c.settings = settings_from(settings, c.classes);
+  c.settings = settings_from(settings, c.classes, c.remarks);
   if (!number(need<std::string>(e, "seed"), c.settings.seed, 16)) throw Bad("'seed' is no hex number");
   const element permits = need(settings, "limits");
   c.connect_timeout = get<std::int64_t>(permits, "connect_timeout", 400'000'000);
@@ -296,21 +288,26 @@
     c.handshake_price = get<double>(*prices, "handshake", 0.0);
   const auto zones = c.zones = list<std::string>(settings, "zones");
   const auto kinds = list<std::string>(settings, "machine_types");
-  if (const auto known = find(e, "known")) {
-    c.known_number = get<std::uint64_t>(*known, "offset", 0);
-    if (const auto batch = find(*known, "batch")) {
-      for (const element event : array_of(*batch, "batch"))
-        c.known.push_back(event_from(event, zones, kinds));
-    }
-  }
-  keys_of(e, "", c.keys);
-  std::sort(c.keys.begin(), c.keys.end());
+  const element known = need(e, "known");
+  c.known_number = need<std::uint64_t>(known, "offset");
+  for (const element event : array_of(need(known, "batch"), "batch"))
+    c.known.push_back(event_from(event, zones, kinds));
+  c.kept = kept_keys(e);
   return c;
 }
 
-void need_keys_of(const Config& in_force, const Config& fresh) {
-  for (const std::string& key : in_force.keys) {
-    if (!std::binary_search(fresh.keys.begin(), fresh.keys.end(), key)) throw Bad("'" + key + "' is missing");
+void need_kept_keys(const Config& in_force, const Config& fresh) {
+  const auto has_class = [&](const std::string& name) {
+    return std::find(fresh.classes.begin(), fresh.classes.end(), name) != fresh.classes.end();
+  };
+  for (const KeptKey& key : in_force.kept) {
+    if (!key.class_name.empty() && !has_class(key.class_name)) continue;
+    const bool still_there = std::any_of(fresh.kept.begin(), fresh.kept.end(), [&](const KeptKey& other) {
+      return other.class_name == key.class_name && other.path == key.path;
+    });
+    if (still_there) continue;
+    const std::string of_class = key.class_name.empty() ? "" : " of the class '" + key.class_name + "'";
+    throw Bad("'" + std::string(key.path) + "'" + of_class + " is missing");
   }
 }
 
--- a/src/config/config.hpp
+++ b/src/config/config.hpp
@@ -11,6 +11,7 @@
 
 #include "anisewick/control.hpp"
 #include "bus/bus.hpp"
+#include "config/keys.hpp"
 
 namespace anisewick::config {
 
@@ -36,7 +37,8 @@
   double handshake_price = 0.0;      // of a connection opened, in worth of a request; 0: none is told
   std::uint64_t known_number = 0;    // of the last event in `known`
   std::vector<bus::Event> known;
-  std::vector<std::string> keys;  // the paths that the file has, in order, without what is in `known`
+  std::vector<KeptKey> kept;         // that a file after this one may not have lost
+  std::vector<std::string> remarks;  // on what is passed over, a line each
 };
 
 // Says in one line what is wrong.
@@ -47,8 +49,9 @@
 Endpoint endpoint_from(std::string_view text);  // throws Bad
 Config parse(std::string_view json);            // throws Bad
 Config load(const std::string& path);           // throws Bad
-// Throws Bad where a new file lacks a key that the file in force has: it was cut or spoilt on its way.
-void need_keys_of(const Config& in_force, const Config& fresh);
+// Throws Bad where a new file has lost a key that the file in force has: it was cut or spoilt on its way.
+// Those of a class count while there is a class of that name.
+void need_kept_keys(const Config& in_force, const Config& fresh);
 
 }  // namespace anisewick::config
 
--- a/src/service/service.cpp
+++ b/src/service/service.cpp
@@ -88,6 +88,7 @@
   if (around_.log_requests) counters_.log = &log_.emplace(std::cerr);
   life_.longest_deadline(longest_deadline(c.settings));
   classes_.adopt(c.classes, c.settings.classes);
+  for (const std::string& remark : c.remarks) std::cerr << "anisewick: " << remark << std::endl;
   // Before the first request: a purge or a drain known now must not be found out later.
   if (around_.descriptor && !around_.folder.empty()) {
     std::random_device random;
@@ -206,7 +207,7 @@
 void Service::reload() {
   try {
     config::Config c = config::load(around_.config_path);
-    config::need_keys_of(config_, c);
+    config::need_kept_keys(config_, c);
     adopt(std::move(c));
   } catch (const std::exception& e) {
     std::cerr << "anisewick: the old configuration stays in force: " << e.what() << std::endl;
@@ -225,7 +226,9 @@
   config_.known.clear();
   ++counters_.reloads;
   std::cerr << "anisewick: configuration " << classes_.generation() << " is in force, with "
-            << config_.classes.size() << " classes" << std::endl;
+            << config_.classes.size() << " classes";
+  for (const std::string& remark : config_.remarks) std::cerr << "; " << remark;
+  std::cerr << std::endl;
 }
 
 // The settings and limits in force, or half of what they allow while another process has the other half.
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -294,11 +294,20 @@
       {"offset":41,"topology":{"seq":7,"whole":true,"hosts":[{"host":"s-00c41f7a","dial":"127.1.0.9:7002",
         "site":"east","class":"parent","block":2,"health":"Terminating","share":4,"born_ms":5}]}},
       {"offset":42,"ban":{"url":"7f3a9c21e0b4d655","ts":11}},{"offset":43,"ban":{"tag":17,"ts":12}}]},
-    "settings":{"my_zone":1,"zones":["hub","east"],"machine_types":["box","parent"],"weight_source":"nominal",
-      "categories":[{"name":"book-slot","aim":600000000,"credit":3.0,"deadline":3e9,"repeat":"single_shot"},
-                    {"name":"slot-page","aim":4e8,"deadline":2500000000,"repeat":"free"}],
-      "family_info":{"class_fresh":[0,8000000000],"never_kept":[true,false],"mid_kind":1},
-      "rules":{"cold_from":0.2},"limits":{"max_attempts":8,"max_streams":100,"connect_timeout":400000000}}})";
+    "settings":{"my_zone":1,"n_instances":1,"index":0,"tick":2000000,
+      "zones":["hub","east"],"machine_types":["box","parent"],"weight_source":"nominal",
+      "categories":[{"name":"book-slot","aim":600000000,"credit":3.0,"late_worth":0.1,"deadline":3e9,
+                     "repeat":"single_shot"},
+                    {"name":"slot-page","aim":4e8,"aim_stretch":2.0,"credit":1.0,"deadline":2500000000,
+                     "repeat":"free"}],
+      "family_info":{"class_fresh":[0,8000000000],"grace_for":[0,0],"never_kept":[true,false],"mid_kind":1,
+        "store_kind":2,"client_kb_per_s":10500.0,"can_join":true,"notes_given":"all","zone_hub":[0,0],
+        "seats_by_zone":[0,1],"purge_settles":6000000000,"purge_grace":1000000000,"upper_cold_from":0.061,
+        "upper_cold":22000000000,"parent_fall_multiple":2.0,"sideways":"silent"},
+      "rules":{"cold_from":0.2,"ramp_time":16000000000,"fall_multiple":3.0,"fall":1000000000},
+      "prices":{"handshake":0.1,"fleet":0.1},
+      "limits":{"max_attempts":8,"max_retry_after":1000000000,"max_streams":100,"connect_timeout":400000000,
+        "conn_idle":30000000000}}})";
   const auto c = config::parse(good);
   CHECK((c.listen.address == 0x7f000004 && c.listen.port == 7001 && c.bus.port == 7070));
   CHECK((c.memory_mb == 192 && c.sockets == 1024 && c.streams == 100 && c.connect_timeout == 400'000'000));
@@ -354,29 +363,19 @@
   for (std::size_t n = 0; n < good.size(); n += 13)
     CHECK_THROWS_AS(config::parse(good.substr(0, n)), config::Bad);
 
-  // A key that the file in force has may not be missing, wherever it stands; what `known` holds may change.
-  const std::vector<std::tuple<std::string, std::string, bool>> changed{
-      {"\"credit\":3.0,", "", true},  // not all classes had it
-      {"\"aim\":4e8,", "", false},
-      {"\"mid_kind\":1", "\"x\":1", false},
-      {",\"max_streams\":100", "", false},
-      {"\"cold_from\":0.2", "", false},
-      {"\"name\":\"n3\",", "", false},
-      {"\"cores\":1.0,", "", false},
-      {"\"cores\":1.0,", "\"cores\":0.5,\"more\":1,", true},
-      {"\"ban\":{\"tag\":17,\"ts\":12}", "\"ban\":{\"tag\":18,\"ts\":13}", true},
+  // Another file after it: more and other values are fine, and so is another class.
+  const std::vector<std::pair<std::string, std::string>> changed{
+      {"\"cores\":1.0,", "\"cores\":0.5,\"more\":1,"},
+      {"\"ban\":{\"tag\":17,\"ts\":12}", "\"ban\":{\"tag\":18,\"ts\":13}"},
       {"{\"name\":\"slot-page\"",
-       "{\"name\":\"more\",\"aim\":1,\"deadline\":5,\"repeat\":\"free\"},{\"name\":\"slot-page\"", true},
+       "{\"name\":\"more\",\"aim\":1,\"credit\":1,\"deadline\":5,\"repeat\":\"free\"},{\"name\":\"slot-"
+       "page\""},
   };
-  for (const auto& [from, to, fine] : changed) {
+  for (const auto& [from, to] : changed) {
     std::string text = good;
     text.replace(text.find(from), from.size(), to);
     INFO(from << " as " << to);
-    if (fine) {
-      CHECK_NOTHROW(config::need_keys_of(c, config::parse(text)));
-    } else {
-      CHECK_THROWS_AS(config::need_keys_of(c, config::parse(text)), config::Bad);
-    }
+    CHECK_NOTHROW(config::need_kept_keys(c, config::parse(text)));
   }
   CHECK_THROWS_AS(config::load("/nowhere/config.json"), config::Bad);
 
--- a/tests/doorman_test.cpp
+++ b/tests/doorman_test.cpp
@@ -519,7 +519,7 @@
   CHECK(answer(client).has("Status: 404"));
   // In front of the others: no number may shift under what is open.
   const std::string fresh =
-      R"({"name":"slot-page_b","aim":400000000,"deadline":9000000000,"repeat":"free"},)";
+      R"({"name":"slot-page_b","aim":400000000,"credit":1,"deadline":9000000000,"repeat":"free"},)";
   ask("slot-page", "9b1f03aa5c7e2d41");
   Heard h = site.caches.next();
   reload("\"categories\":[", "\"categories\":[" + fresh, "configuration 2 is in force, with 3 classes");
@@ -560,6 +560,42 @@
   }
 }
 
+// Guards against a sound file that is turned down, so that a class which it makes single-shot runs twice, and
+// against a cut file that is taken (review/7).
+TEST_CASE("SIGHUP takes a class without optional keys, and no file without its known events") {
+  Site site;
+  site.change("\"aim\":600000000,", "\"aim\":600000000,\"aim_stretch\":1.6,");  // every class has it
+  site.start();
+  Stream client = site.client();
+  const auto reload = [&](const std::string& from, const std::string& to, const std::string& said) {
+    site.change(from, to);
+    site.program->signal(SIGHUP);
+    CHECK(site.program->line().find(said) != std::string::npos);
+  };
+  site.change(R"("class_fresh":[8000000000,0],"grace_for":[0,0],"never_kept":[false,true])",
+              R"("class_fresh":[0,8000000000,0],"grace_for":[0,0,0],"never_kept":[false,false,true])");
+  const std::string free = R"("deadline":9000000000,"repeat":"free")";
+  const std::string single_shot = R"("deadline":9000000000,"repeat":"single_shot")";
+  site.change(free, single_shot);
+  reload(R"("categories":[)",
+         R"("categories":[{"name":"new","aim":400000000,"credit":1,"deadline":9000000000,"repeat":"free"},)",
+         "configuration 2 is in force, with 3 classes");
+  const auto runs_once = [&](int n) {
+    client.write(request(1, numbered(n)));
+    site.caches.next().on->reset();
+    return failed(answer(client)) && !site.caches.next(100);
+  };
+  CHECK(runs_once(1));
+  Ask added = numbered(2);
+  added.cls = "new";
+  client.write(request(1, added));
+  site.caches.next().say("DONE", "remark=hit", "new");
+  CHECK(answer(client).body == "new");
+  site.change(R"("known":{)", R"("unknown":{)");
+  reload(single_shot, free, "the old configuration stays in force: 'known' is missing");
+  CHECK(runs_once(3));
+}
+
 TEST_CASE("Clients that say nothing, too little or too much are answered or left, and hold no one up") {
   Site site;
   site.change("\"sockets\":1024", "\"sockets\":64");
--- a/tests/site.hpp
+++ b/tests/site.hpp
@@ -148,15 +148,16 @@
               R"(,"batch":[)" + batch +
               R"(]},"settings":{"my_zone":1,"n_instances":1,"index":0,"zones":["main-hub","edge-1"],
       "machine_types":["small-box","parent","origin"],"weight_source":"nominal","tick":2000000,
-      "categories":[{"name":"slot-page","aim":400000000,"aim_stretch":2.0,
+      "categories":[{"name":"slot-page","aim":400000000,"aim_stretch":2.0,"credit":1.0,
         "deadline":9000000000,"repeat":"free"},
-        {"name":"book-slot","aim":600000000,"deadline":9000000000,"repeat":"single_shot"}],
+        {"name":"book-slot","aim":600000000,"credit":1.0,"deadline":9000000000,"repeat":"single_shot"}],
       "family_info":{"class_fresh":[8000000000,0],"grace_for":[0,0],"never_kept":[false,true],"mid_kind":1,
         "store_kind":2,"client_kb_per_s":10500.0,"can_join":true,"notes_given":"all","zone_hub":[0,0],
         "seats_by_zone":[0,1],"purge_settles":6000000000,"purge_grace":1000000000,"upper_cold_from":0.061,
         "upper_cold":22000000000,"parent_fall_multiple":2.0},
-      "rules":{"cold_from":0.2,"ramp_time":16000000000,"fall_multiple":3.0,"fall":1000000000},
-      "limits":{"max_attempts":8,"max_retry_after":1000000000,"connect_timeout":400000000,
+      "rules":{"cold_from":0.2,"ramp_time":16000000000,"fall_multiple":3.0,"fall":1000000000,
+        "drain_grace":250000000},
+      "limits":{"cancel":true,"max_attempts":8,"max_retry_after":1000000000,"connect_timeout":400000000,
         "conn_idle":30000000000,"max_streams":100}}})";
   }
   ~Site() {
