--- a/tests/config_test.cpp
+++ b/tests/config_test.cpp
@@ -50,7 +50,8 @@
            "key_ttl":5,"late_worth":0.0,"repeat":"guarded","stream":false}])";
   const std::string family =
       R"({"aged_worth":[0.7,0.7],"byte_fee":0.02,"can_join":true,"class_fresh":[0,0],"client_kb_per_s":10.0,
-          "grace_for":[0,0],"in_parts":[false,false],"mid_kind":1,"never_kept":[false,true],"notes_given":"all",
+          "grace_for":[0,0],"in_parts":[false,false],"mid_kind":1,"never_kept":[false,true],
+          "notes_given":"all",
           "origin_over_for":3,"origin_stops_at":0.0,"parent_fall_multiple":2.0,"pass_through_ok":false,
           "purge_grace":1,"purge_settles":6,"report_x0":"hits","report_x1":"link","seats_by_zone":[0,1],
           "sideways":"silent","store_kind":2,"upper_cold":22,"upper_cold_from":0.061,"zone_hub":[0,0],
@@ -75,7 +76,8 @@
          known + R"(,"settings":{"accounts":[],"categories":)" + categories +
          R"(,"clients":{"marks_retry":false},"discovery":"push","domain_type":"edge","family_info":)" +
          family +
-         R"(,"goal":{"whole":0.5,"worst_class":0.3,"worst_tenant":0.0,"worst_window":0.2},"index":0,"limits":)" +
+         R"(,"goal":{"whole":0.5,"worst_class":0.3,"worst_tenant":0.0,"worst_window":0.2},
+    "index":0,"limits":)" +
          limits + R"(,"machine_types":["box","parent"],"my_zone":1,"n_instances":1,"over_share_worth":0.1,
     "prices":)" +
          prices + R"(,"rules":)" + rules +
