Work out how old a copy may be when the request goes out

Cause: `oldest` was decided with the pick and kept. A list takes back what has not gone out; a purge changed nothing in it.

Fix: Control::max_age gives the bound as of now; the proxy asks for it in the one place that makes a request's bytes, so late connections, moves to another connection, queues and repeats are all covered. The cache box makes the bytes of a fill then too.

--- a/src/cachebox/box.cpp
+++ b/src/cachebox/box.cpp
@@ -498,17 +498,10 @@
   return id;
 }
 
-void Box::try_fill(std::uint64_t id) {
-  FillUnder& fill = *fills_.at(id);
+// The oldest copy that will do as of now: what the class and the asker allow, and nothing from before a purge
+// or a gap.
+std::int64_t Box::bound_age(FillUnder& fill, std::int64_t now) {
   const depot::Request& r = fill.request;
-  const serving::Class& cls = settings_.classes[fill.cls];
-  const std::int64_t now = now_ms();
-  const std::int64_t time = std::max<std::int64_t>(1, fill.course.time_for(now));
-  const auto known = list_.find(fill.source);
-  const int kind = known == list_.end() ? -1 : known->second.kind;
-
-  // The oldest copy that will do: what the class and the asker allow, and nothing from before a purge or a
-  // gap.
   std::int64_t least = store_->ledger().least_birth(r.object, r.group);
   if (fill.candidate) {
     if (store_->ledger().gap_ms() > fill.candidate->about.born_ms)
@@ -517,40 +510,72 @@
       least = std::max(least, now - settings_.bus_away_ms);
     }
   }
-  const std::int64_t by_age = serving::least_birth(cls, r.oldest_ms, now);
-  std::int64_t oldest = r.oldest_ms;
-  if (least >= by_age && least > 0) oldest = std::max<std::int64_t>(1, now - least - 1);
+  const std::int64_t by_age = serving::least_birth(settings_.classes[fill.cls], r.oldest_ms, now);
   fill.least_birth = std::max(least, by_age);
   fill.sequence = store_->sequence();
-  fill.sent_ms = now;
+  return least >= by_age && least > 0 ? std::max<std::int64_t>(1, now - least - 1) : r.oldest_ms;
+}
 
-  std::array<char, 17> text{};
-  std::snprintf(
-      text.data(), text.size(), "%016llx",
-      static_cast<unsigned long long>(fill_salt_ + id * 16 + static_cast<unsigned>(fill.course.tries())));
+// What goes to the source if it is written now, later than the fill was begun: a purge may have been told and
+// time has passed.
+std::string Box::fill_bytes(FillUnder& fill, const std::string& request_id, std::optional<depot::Id> from,
+                            std::int64_t until_ms) {
+  const depot::Request& r = fill.request;
+  const std::int64_t now = now_ms();
   depot::Fetch fetch;
-  const std::string own(text.data());
-  fetch.id = own;
+  fetch.id = request_id;
   fetch.profile = r.profile;
   fetch.thing = r.thing;
   fetch.nth = r.nth;
   fetch.body = r.body;
-  fetch.max_ms = time;
-  fetch.oldest_ms = oldest;
-  if (kind == settings_.parent_kind) {
-    if (!r.only_if_cached) fetch.from = origin_;
+  fetch.max_ms = std::max<std::int64_t>(1, until_ms - now);
+  fetch.oldest_ms = bound_age(fill, now);
+  fill.sent_ms = now;
+  fetch.from = from;
+  if (is_parent(fill.source)) {
     fetch.collapse = fill.keep;
     fetch.no_store_up = r.no_store_up;
   }
   if (fill.candidate) fetch.seen = fill.candidate->about.tag;
+  return depot::fetch_bytes(fetch);
+}
+
+// Whom the source of a fill asks itself: a parent the origin.
+std::optional<depot::Id> Box::fill_from(const FillUnder& fill) const {
+  if (!is_parent(fill.source) || fill.request.only_if_cached) return std::nullopt;
+  return origin_;
+}
+
+bool Box::is_parent(depot::Id id) const {
+  const auto known = list_.find(id);
+  return known != list_.end() && known->second.kind == settings_.parent_kind;
+}
+
+void Box::try_fill(std::uint64_t id) {
+  FillUnder& fill = *fills_.at(id);
+  const std::int64_t now = now_ms();
+  const std::int64_t time = std::max<std::int64_t>(1, fill.course.time_for(now));
+  bound_age(fill, now);
+  fill.sent_ms = now;
+
+  std::array<char, 17> text{};
+  std::snprintf(
+      text.data(), text.size(), "%016llx",
+      static_cast<unsigned long long>(fill_salt_ + id * 16 + static_cast<unsigned>(fill.course.tries())));
+  const std::string own(text.data());
+  links::UpstreamPool::Order order;
+  order.depot = fill.source;
+  order.source = fill_from(fill);
+  order.id = own;
+  // The pool lets go of the order before the fill ends.
+  order.bytes = [this, &fill, own, from = order.source, until = now + time] {
+    return fill_bytes(fill, own, from, until);
+  };
+  if (fill.candidate) order.facts.seen = fill.candidate->about.tag;
+  order.facts.group = fill.request.group;
   ++counters_.fill_tries;
-  fill.handle =
-      pool_.send({fill.source,
-                  fetch.from,
-                  own,
-                  [bytes = depot::fetch_bytes(fetch)] { return bytes; },
-                  {std::string(fetch.seen), fill.request.group}},
-                 [this, id](links::UpstreamPool::Reply&& reply) { fill_ended(id, std::move(reply)); });
+  fill.handle = pool_.send(
+      std::move(order), [this, id](links::UpstreamPool::Reply&& reply) { fill_ended(id, std::move(reply)); });
   fill.timer.expires_after(std::chrono::milliseconds(time));
   fill.timer.async_wait([this, id, handle = fill.handle](Error error) {
     const auto it = fills_.find(id);
@@ -604,8 +629,7 @@
     // A purge, or a gap, came while it was on its way.
     return fill_next(id, fill.course.too_old(now, random_));
   }
-  const auto known = list_.find(fill.source);
-  const bool parent = known != list_.end() && known->second.kind == settings_.parent_kind;
+  const bool parent = is_parent(fill.source);
   const bool behind = reply.report.remark >= Remark::kFilled && reply.report.remark <= Remark::kJoined;
   if (reply.same) {
     ++counters_.confirmed;
--- a/src/cachebox/box.hpp
+++ b/src/cachebox/box.hpp
@@ -99,6 +99,11 @@
   std::uint64_t begin_fill(const depot::Request& request, std::size_t cls,
                            std::optional<copies::Copy> candidate, std::int64_t until_ms);
   void try_fill(std::uint64_t id);
+  std::int64_t bound_age(FillUnder& fill, std::int64_t now);
+  std::string fill_bytes(FillUnder& fill, const std::string& request_id, std::optional<depot::Id> from,
+                         std::int64_t until_ms);
+  std::optional<depot::Id> fill_from(const FillUnder& fill) const;
+  bool is_parent(depot::Id id) const;
   void fill_ended(std::uint64_t id, links::UpstreamPool::Reply&& reply);
   void fill_next(std::uint64_t id, const serving::Fill::Next& next);
   void fill_good(std::uint64_t id, copies::Copy copy, int remark);
--- a/src/control.cpp
+++ b/src/control.cpp
@@ -11,6 +11,7 @@
 #include <utility>
 
 #include "anisewick/learned.hpp"
+#include "decisions/recent_purges.hpp"
 
 namespace anisewick {
 namespace {
@@ -305,8 +306,7 @@
   Server* origin = nullptr;
   std::map<std::uint64_t, Held> held;
   std::set<std::pair<Time, std::uint64_t>> due;  // when each of them is wanted
-  std::map<std::uint64_t, Time> purged_objects;  // when each was purged
-  std::map<int, Time> purged_groups;
+  RecentPurges purges;
   Throttle from_origin;
   double links_late = 0.0;       // smoothed share of what parents held that came late
   double retries = kRetryStore;  // further attempts in hand: a crowd must not be answered with more load
@@ -418,25 +418,17 @@
 
   // ---- Purges (rule 5): no copy older than the purge will do, for as long as one may be left anywhere.
   void purged(Time now, const Purge& p) {
-    const Time at = now - p.age;
-    Time& known = p.whole_group ? purged_groups[p.group] : purged_objects[p.object];
-    known = std::max(known, at);
+    purges.add(p, now - p.age);
     if (p.whole_group && p.age < kSecond) from_origin.pace(now, kPurgeGain, draw());
-    const auto old = [&](const auto& kv) { return kv.second + s.purge_settle + kSecond < now; };
-    std::erase_if(purged_objects, old);
-    std::erase_if(purged_groups, old);
+    purges.forget(now - s.purge_settle - kSecond);
   }
-  Time purge_of(const Request& r) const {  // 0: none
-    Time at = 0;
-    if (const auto it = purged_objects.find(r.object); it != purged_objects.end()) at = it->second;
-    if (const auto it = purged_groups.find(r.group); it != purged_groups.end()) at = std::max(at, it->second);
-    return at;
-  }
-  // The oldest copy that will do; 0 only where no purge and no grace narrows or widens the default.
+  // The oldest copy that will do; 0 only where no purge and no grace narrows or widens the default, and for
+  // what is never kept.
   Time max_age(Time now, const Held& h) const {
     const ClassSettings& c = cls(h.r);
+    if (c.never_kept || h.r.write) return 0;
     Time age = h.stale_ok && c.fresh > 0 && c.grace > 0 ? c.fresh + c.grace : 0;
-    const Time at = purge_of(h.r);
+    const Time at = purges.last(h.r.object, h.r.group);
     if (at != 0 && now <= at + s.purge_settle + kSecond) {
       const Time bound = std::max<Time>(1, now - at - kMs);
       const Time usual = age != 0 ? age : c.fresh;
@@ -702,7 +694,7 @@
     a.source = source->m.id;
     const int early = kept && !first_at_location(h.r) ? kRankEarly : 0;
     a.rank = server->role != Role::kCache ? 0 : admitted ? kRankAdmitted : early;
-    a.max_age = kept ? max_age(now, h) : 0;
+    a.max_age = max_age(now, h);
     a.join = s.joins && kept;
     const Time half = now + (last - now) / 2;
     const bool more = static_cast<int>(h.tries.size()) + 1 < c.max_attempts;
@@ -908,6 +900,11 @@
 
 void Control::told(Time, int, const std::string&, Actions&) {}
 
+Time Control::max_age(Time now, std::uint64_t id) const {
+  const auto it = impl_->held.find(id);
+  return it == impl_->held.end() ? 0 : impl_->max_age(now, it->second);
+}
+
 void Control::purged(Time now, const Purge& purge, Actions&) { impl_->purged(now, purge); }
 
 }  // namespace anisewick
--- a/src/facade/facade.cpp
+++ b/src/facade/facade.cpp
@@ -127,6 +127,8 @@
   return impl_->step_for(now, ask.id);
 }
 
+Time Facade::oldest(Time now, std::uint64_t id) const { return impl_->control.max_age(now, id); }
+
 Step Facade::report(Time now, std::uint64_t id, const Report& report) {
   const auto it = impl_->open.find(id);
   if (it == impl_->open.end()) return {};
--- a/src/facade/facade.hpp
+++ b/src/facade/facade.hpp
@@ -60,6 +60,9 @@
   Learned learned() const;
   void learn(const Learned& learned);
   Step pick(Time now, const Ask& ask);
+  // The oldest copy that will do for a request whose attempt goes out now, later than it was picked; 0: the
+  // class's fresh time.
+  Time oldest(Time now, std::uint64_t id) const;
   Step report(Time now, std::uint64_t id, const Report& report);
   // What has come up by itself, of any requests.
   std::vector<std::pair<std::uint64_t, Step>> tick(Time now);
--- a/src/net/doorman.cpp
+++ b/src/net/doorman.cpp
@@ -71,8 +71,9 @@
   return event;
 }
 
-// What goes to the cache server if it is written now.
-depot::Fetch fetch_of(const Call& call, const Step& step, std::int64_t now) {
+// What goes to the cache server if it is written now. `oldest` is that of now: a purge may have been told
+// since the step was decided.
+depot::Fetch fetch_of(const Call& call, const Step& step, Time oldest, std::int64_t now) {
   depot::Fetch fetch;
   fetch.id = call.id;
   fetch.profile = call.profile;
@@ -83,7 +84,7 @@
   fetch.from = step.source;
   fetch.rank = step.rank;
   // Rounded down, so that no copy older than was meant will do; but 0 would mean any fresh one.
-  fetch.oldest_ms = step.oldest > 0 ? std::max<std::int64_t>(1, step.oldest / kMs) : 0;
+  fetch.oldest_ms = oldest > 0 ? std::max<std::int64_t>(1, oldest / kMs) : 0;
   fetch.max_ms = std::max<std::int64_t>(1, (step.until - now) / kMs);
   fetch.collapse = step.join;
   fetch.only_if_cached = step.held_only;
@@ -208,7 +209,11 @@
   if (open.held_only || open.bare) counters_.tally(step.depot, open.bare ? Tally::kBare : Tally::kHeld);
   if (step.source) counters_.tally(*step.source, Tally::kFills);
   // The pool lets go of the order before the request ends.
-  const auto bytes = [&call, step] { return depot::fetch_bytes(fetch_of(call, step, steady_unix_now())); };
+  const auto bytes = [this, ticket, &call, step] {
+    const std::int64_t written_at = steady_unix_now();
+    const Time oldest = facade_.oldest(written_at, ticket);
+    return depot::fetch_bytes(fetch_of(call, step, oldest, written_at));
+  };
   UpstreamPool::Order order{step.depot, step.source, call.id, bytes, {}};
   order.facts.seen = call.tag;
   order.begin_by = step.begin_by;
--- a/tests/cachebox_test.cpp
+++ b/tests/cachebox_test.cpp
@@ -477,6 +477,35 @@
   CHECK(how(asker.ask(page)) == kFilled);
 }
 
+// Guards against a source that may answer from an older copy, though the purge was told while the request to
+// it waited for its connection (review/8); and against a time told that is past by then.
+TEST_CASE("a fill that waits for a late connection heeds a purge that is told meanwhile") {
+  Site site;
+  BoxRun box({site.bus.port(), kBox, {}, "fills { connect_ms: 9000 timeout_ms: 9000 }"});
+  known(site, box);
+  peers::Listener late;
+  ::listen(late.fd(), 0);
+  const peers::Stream filler = peers::Stream::to(late.port());
+  site.add(kOrigin, static_cast<std::uint16_t>(late.port()), 2, 1);
+  REQUIRE(soon([&] { return box.counters().lists >= 2; }));
+  Asker asker(box.port());
+  asker.send(want(1));
+  REQUIRE(soon([&] { return box.counters().fill_tries == 1; }));
+  const auto asked = std::chrono::steady_clock::now();
+  const std::int64_t purged_ms = unix_ms();
+  site.bus.purge(1, purged_ms);
+  REQUIRE(soon([&] { return box.counters().purges >= 1; }));
+  late.accept();  // the filler: there is room in the queue now
+  peers::Stream on = late.accept();
+  const std::string line = on.line();
+  const auto waited =
+      std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::steady_clock::now() - asked);
+  const std::size_t oldest = line.find(",oldest="), max = line.find(",max=");
+  REQUIRE((oldest != std::string::npos && max != std::string::npos));
+  CHECK(std::stoll(line.substr(oldest + 8)) <= unix_ms() - purged_ms);
+  CHECK(std::stoll(line.substr(max + 5)) <= 9000 - waited.count() + 150);
+}
+
 // Guards against a copy that outlives its purge by a time of birth that has not come yet.
 TEST_CASE("a copy that is told to be born in the future is purged like any other") {
   Site site;
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -562,6 +562,44 @@
   CHECK(site.program->counters().find("links=2;") != std::string::npos);
 }
 
+namespace {
+
+// Tells a purge of the group of all requests here; by then it has been taken in.
+std::int64_t purge_now(Site& site) {
+  const std::int64_t purged_ms = now_ms();
+  site.tell(4, big_endian(17, 2) + big_endian(static_cast<std::uint64_t>(purged_ms), 8), "purges=1 ");
+  return purged_ms;
+}
+
+// The request's line lets no copy do that is older than the purge.
+bool bars_older(const std::string& line, std::int64_t purged_ms) {
+  const std::size_t oldest = line.find(",oldest=");
+  return oldest != std::string::npos && std::stoll(line.substr(oldest + 8)) <= now_ms() - purged_ms;
+}
+
+}  // namespace
+
+// Guards against a request that is answered from an older copy, though the purge was told while it waited for
+// its connection (review/8).
+TEST_CASE("A request that waits for a late connection heeds a purge that is told meanwhile") {
+  Site site;
+  LateServer server(site);
+  const Stream filler = server.fill_queue();
+  site.change("\"connect_timeout\":400000000", "\"connect_timeout\":9000000000");
+  site.start();
+  Stream client = site.client();
+  Ask ask = numbered(1);
+  client.write(request(1, ask));
+  Site::until(*site.program, "links=1;");
+  const std::int64_t purged_ms = purge_now(site);
+  server.listener.accept();  // the filler: there is room in the queue now
+  Stream late = server.listener.accept();
+  CHECK(bars_older(late.line(), purged_ms));
+  late.take(2);
+  late.write(ask.id + " DONE remark=filled 3\r\nnew\r\n");
+  CHECK(answer(client).body == "new");
+}
+
 TEST_CASE("A repeat that waits for its connection past the time in which it is known as one is not sent") {
   Site site;
   Listener full;  // connections to the first cache server do not come up
--- a/tests/facade_test.cpp
+++ b/tests/facade_test.cpp
@@ -127,6 +127,11 @@
   facade.heed(kStart, purge);
   const Time oldest = facade.pick(kStart + 10 * kMs, ask(0, 2)).oldest;
   CHECK((oldest > 0 && oldest <= 310 * kMs));
+  // What was picked before the purge and goes out after it is bound as well, by the time that has passed.
+  const Time later = facade.oldest(kStart + 1000 * kMs, 1);
+  CHECK((later > 1000 * kMs && later <= 1300 * kMs));
+  CHECK(facade.oldest(kStart + 1000 * kMs, 2) == later);
+  CHECK(facade.oldest(kStart + 20'000 * kMs, 1) == 0);  // no copy of before it is left anywhere
 }
 
 // A request keeps the terms it began with: effect and attempts, whatever the settings say by then.
