Keep a silent watch on discovery open while another is tried

Cause: a watch without a frame for 1.6 s was closed, and so was the next one, for as long as the bus was slower than that. Connections to the bus had 200 ms and a list in pieces 4 s in the same way.

Fix: links/watch_plan, without I/O or clock, opens another watch beside the silent one; the first that tells a whole frame stays. At most three are open, the newest is replaced when its patience ends, the oldest after 12 s, which doubles each time that none has said anything. A dead watch is left after 1.6 s as before. The disk tier uses the same client: its proof of having heard every purge is taken back in a silence, and one empty frame of the same connection gives it again.

--- a/src/cachebox/box.cpp
+++ b/src/cachebox/box.cpp
@@ -64,8 +64,8 @@
           },
           std::move(why))),
       bus_(io, counters_, settings.bus,
-           {[this] { return hello(); }, [this](const Event& e) { heard(e); },
-            [this] { continuity_.lost(now_ms()); }}),
+           {[this] { return continuity_.ask_from(!whole_list_); }, [this] { continuity_.begun(); },
+            [this](const Event& e) { heard(e); }, [this] { continuity_.lost(now_ms()); }}),
       continuity_({}, true, settings.bus_away_ms),
       acceptor_(io,
                 {[] { return true; }, [this](links::Tcp::socket socket) { take(std::move(socket)); }, [] {}}),
@@ -130,8 +130,6 @@
 
 // ---- The event bus.
 
-std::uint64_t Box::hello() { return continuity_.hello(!whole_list_); }
-
 void Box::heard(const Event& event) {
   const std::int64_t now = now_ms();
   const auto verdict = continuity_.heard(event);
--- a/src/cachebox/box.hpp
+++ b/src/cachebox/box.hpp
@@ -116,7 +116,6 @@
   void answered(Ticket ticket);
   void drop(Ticket ticket);
 
-  std::uint64_t hello();
   void heard(const bus::Event& event);
   void heed(const bus::Event& event, std::int64_t now);
   void heed_list(const bus::Event& event);
--- a/src/links/discovery_client.cpp
+++ b/src/links/discovery_client.cpp
@@ -9,70 +9,79 @@
 namespace {
 
 using Clock = std::chrono::steady_clock;
-using std::chrono::milliseconds;
-
-// Events count as told while we are away, and a drain must be heeded within 250 ms: so all of this is short.
-constexpr milliseconds kConnectLimit{200};
-constexpr milliseconds kPause{20};
-constexpr milliseconds kSilence{1600};  // something comes every second
-// A long list may come in pieces. One that is not whole by then has broken off, even if bytes come that seem
-// to belong to it.
-constexpr milliseconds kFrameLimit{4000};
 
 }  // namespace
 
 DiscoveryClient::DiscoveryClient(asio::io_context& io, Counters& counters, const Tcp::endpoint& at,
                                  std::uint64_t last, Heed heed)
-    : counters_(counters), at_(at), last_(last), heed_(std::move(heed)), socket_(io), timer_(io) {}
+    : io_(io), counters_(counters), at_(at), last_(last), heed_(std::move(heed)), timer_(io) {}
 
 DiscoveryClient::DiscoveryClient(asio::io_context& io, Counters& counters, const Tcp::endpoint& at, Raw raw)
-    : counters_(counters), at_(at), last_(0), raw_(std::move(raw)), socket_(io), timer_(io) {}
+    : io_(io), counters_(counters), at_(at), last_(0), raw_(std::move(raw)), timer_(io) {}
 
-void DiscoveryClient::connect() {
+void DiscoveryClient::look() {
   if (closed_) return;
-  const unsigned turn = ++turn_;
-  reader_ = bus::FrameReader{};
-  Error ignored;
-  socket_.close(ignored);
-  watch(kConnectLimit);
-  socket_.async_connect(at_, [this, turn](Error error) {
-    if (turn != turn_ || closed_) return;
-    if (error) return again();
-    set_up(socket_);
-    hello_ = bus::hello_bytes(raw_.hello ? raw_.hello() : last_);
-    say_hello(0);
-    frame_began_ = Clock::now();
-    watch(kSilence);
-    read();
+  const WatchPlan::Due due = plan_.due(Clock::now());
+  if (due.fell_silent) lost();
+  for (const WatchPlan::Id id : due.close) close(id);
+  if (due.open) open();
+  timer_.expires_at(plan_.next_look());
+  timer_.async_wait([this](Error error) {
+    if (!error) look();
   });
 }
 
-// Step by step: the socket may be another's by the time a part is written.
-void DiscoveryClient::say_hello(std::size_t from) {
-  async_write_available(socket_, asio::buffer(hello_) + from,
-                        [this, turn = turn_, from](Error error, std::size_t size) {
-                          if (turn != turn_ || closed_) return;
-                          if (error) return again();
-                          if (from + size < hello_.size()) return say_hello(from + size);
+void DiscoveryClient::open() {
+  const auto watch = std::make_shared<Watch>(io_, plan_.opened(Clock::now()));
+  watches_.push_back(watch);
+  watch->socket.async_connect(at_, [this, watch](Error error) {
+    if (watch->closed) return;
+    if (error) return failed(watch);
+    set_up(watch->socket);
+    plan_.up(watch->id, Clock::now());
+    watch->hello = bus::hello_bytes(raw_.ask_from ? raw_.ask_from() : last_);
+    say_hello(watch, 0);
+    read(watch);
+    look();
+  });
+}
+
+void DiscoveryClient::say_hello(const WatchPtr& watch, std::size_t from) {
+  async_write_available(watch->socket, asio::buffer(watch->hello) + from,
+                        [this, watch, from](Error error, std::size_t size) {
+                          if (watch->closed) return;
+                          if (error) return failed(watch);
+                          if (from + size < watch->hello.size()) return say_hello(watch, from + size);
                           if (up_) up_();
                         });
 }
 
-void DiscoveryClient::read() {
-  async_read_available(socket_, asio::buffer(in_), [this, turn = turn_](Error error, std::size_t n) {
-    if (turn != turn_ || closed_) return;
-    if (error) return again();
-    std::vector<bus::Event> events;
-    const bool fine = reader_.feed({in_.data(), n}, events);
-    heed(events);
-    if (!fine) return again();
-    const auto now = Clock::now();
-    if (!events.empty() || !reader_.midway()) frame_began_ = now;
-    watch(std::min(kSilence, std::chrono::ceil<milliseconds>(frame_began_ + kFrameLimit - now)));
-    read();
+void DiscoveryClient::read(const WatchPtr& watch) {
+  async_read_available(watch->socket, asio::buffer(in_), [this, watch](Error error, std::size_t size) {
+    if (watch->closed) return;
+    if (error) return failed(watch);
+    take(watch, size);
+    if (!watch->closed) read(watch);
   });
 }
 
+void DiscoveryClient::take(const WatchPtr& watch, std::size_t size) {
+  std::vector<bus::Event> events;
+  const bool fine = watch->reader.feed({in_.data(), size}, events);
+  if (!events.empty()) told(watch);
+  heed(events);
+  if (watch->closed) return;  // what was told has moved the bus
+  if (!fine) return failed(watch);
+  plan_.heard(watch->id, watch->reader.midway(), Clock::now());
+  look();
+}
+
+void DiscoveryClient::told(const WatchPtr& watch) {
+  const bool another = !plan_.is_current(watch->id);
+  for (const WatchPlan::Id other : plan_.told(watch->id, Clock::now())) close(other);
+  if (another && raw_.begun) raw_.begun();
+}
+
 void DiscoveryClient::heed(const std::vector<bus::Event>& events) {
   for (const bus::Event& event : events) {
     if (raw_.heed) {
@@ -86,37 +95,51 @@
   }
 }
 
+void DiscoveryClient::failed(const WatchPtr& watch) {
+  const bool current = plan_.is_current(watch->id);
+  plan_.ended(watch->id, Clock::now());
+  close(watch->id);
+  if (current) {
+    lost();
+  } else {
+    ++counters_.bus_lost;
+  }
+  look();
+}
+
+void DiscoveryClient::lost() {
+  ++counters_.bus_lost;
+  if (raw_.lost) raw_.lost();
+}
+
 void DiscoveryClient::move(const Tcp::endpoint& at, const std::vector<bus::Event>& known) {
   if (closed_) return;
   heed(known);
   at_ = at;
-  connect();
+  close_all();
+  plan_ = WatchPlan{};
+  look();
 }
 
-void DiscoveryClient::watch(milliseconds limit) {
-  timer_.expires_after(limit);
-  timer_.async_wait([this, turn = turn_](Error error) {
-    if (!error && turn == turn_ && !closed_) again();
-  });
+void DiscoveryClient::close(WatchPlan::Id id) {
+  const auto it =
+      std::find_if(watches_.begin(), watches_.end(), [&](const WatchPtr& w) { return w->id == id; });
+  if (it == watches_.end()) return;
+  Error ignored;
+  (*it)->closed = true;
+  (*it)->socket.close(ignored);
+  watches_.erase(it);
 }
 
-void DiscoveryClient::again() {
-  ++counters_.bus_lost;
-  if (raw_.lost) raw_.lost();
-  ++turn_;
-  Error ignored;
-  socket_.close(ignored);
-  timer_.expires_after(kPause);
-  timer_.async_wait([this](Error error) {
-    if (!error) connect();
-  });
+void DiscoveryClient::close_all() {
+  const std::vector<WatchPtr> all = watches_;
+  for (const WatchPtr& watch : all) close(watch->id);
 }
 
 void DiscoveryClient::close() {
   closed_ = true;
-  Error ignored;
   timer_.cancel();
-  socket_.close(ignored);
+  close_all();
 }
 
 }  // namespace anisewick::links
--- a/src/purges/continuity.cpp
+++ b/src/purges/continuity.cpp
@@ -29,10 +29,13 @@
 Continuity::Continuity(Witness witness, bool any, std::int64_t away_ms)
     : witness_(witness), any_(any), away_ms_(away_ms) {}
 
-std::uint64_t Continuity::hello(bool whole) {
+void Continuity::begun() {
   proven_ = seen_ = hole_ = false;
   candidate_ = {};
   next_ = 0;
+}
+
+std::uint64_t Continuity::ask_from(bool whole) const {
   return whole || witness_.number == 0 ? 0 : witness_.number - 1;
 }
 
@@ -57,8 +60,12 @@
 }
 
 void Continuity::lost(std::int64_t now_ms) {
-  if (proven_) lost_ = now_ms;
+  if (!proven_) return;
+  lost_ = now_ms;
   proven_ = false;
+  // Its numbering stays the known one, unless another connection begins.
+  seen_ = true;
+  hole_ = false;
 }
 
 Continuity::State Continuity::state(std::int64_t now_ms) const {
--- a/src/purges/continuity.hpp
+++ b/src/purges/continuity.hpp
@@ -43,8 +43,11 @@
   Continuity(Witness witness, bool any, std::int64_t away_ms);
 
   // The number to ask from at a new connection. `whole`: also all before, for the list of depots.
-  std::uint64_t hello(bool whole);
+  std::uint64_t ask_from(bool whole) const;
+  // What is heard from here on is of a new connection.
+  void begun();
   Verdict heard(const bus::Event& event);
+  // The connection has ended or fallen silent. If it goes on, all that is needed is its next empty frame.
   void lost(std::int64_t now_ms);
   State state(std::int64_t now_ms) const;
   const Witness& witness() const { return witness_; }
--- a/src/standin/site.cpp
+++ b/src/standin/site.cpp
@@ -253,14 +253,16 @@
       asio::async_read(socket, asio::buffer(in), [self = shared_from_this()](Error error, std::size_t) {
         if (error) return self->end();
         std::uint64_t from = 0;
+        std::string missed;
         for (const char c : self->in) from = from << 8 | static_cast<unsigned char>(c);
         {
           const std::lock_guard hold(self->bus.mutex);
           self->bus.asked_from = from;
           for (const bus::Event& e : self->bus.events) {
-            if (e.number > from) self->out += bus::frame_bytes(e);
+            if (e.number > from) missed += bus::frame_bytes(e);
           }
         }
+        self->say(std::move(missed));
         self->ready = true;
         self->nothing();
         self->watch();
@@ -273,14 +275,26 @@
         self->watch();
       });
     }
+    // Now, or as late as the bus is.
+    void say(std::string bytes) {
+      if (bus.late_ms == 0) {
+        out += bytes;
+        return write();
+      }
+      const auto later =
+          std::make_shared<asio::steady_timer>(bus.loop.io, std::chrono::milliseconds(bus.late_ms));
+      later->async_wait([self = shared_from_this(), later, bytes = std::move(bytes)](Error) {
+        self->out += bytes;
+        self->write();
+      });
+    }
     void nothing() {
+      bus::Event e;
       {
         const std::lock_guard hold(bus.mutex);
-        bus::Event e;
         e.number = bus.events.empty() ? 0 : bus.events.back().number;
-        out += bus::frame_bytes(e);
       }
-      write();
+      say(bus::frame_bytes(e));
       timer.expires_after(std::chrono::seconds(1));
       timer.async_wait([self = shared_from_this()](Error error) {
         if (!error && !self->ended) self->nothing();
@@ -335,6 +349,7 @@
   std::vector<bus::Event> events;
   std::map<std::uint32_t, bus::Depot> depots;  // as they stand
   std::uint64_t asked_from = 0;
+  std::atomic<int> late_ms{0};
   std::set<std::shared_ptr<Link>> links;  // of the loop's thread
   std::atomic<std::size_t> connected{0};
 };
@@ -356,9 +371,7 @@
   asio::post(impl_->loop.io, [impl = impl_, event] {
     const auto all = impl->links;
     for (const auto& link : all) {
-      if (!link->ready) continue;
-      link->out += bus::frame_bytes(event);
-      link->write();
+      if (link->ready) link->say(bus::frame_bytes(event));
     }
   });
   return event.number;
@@ -377,6 +390,7 @@
   e.purged_ms = at_ms;
   tell(e);
 }
+void EventBus::late(int ms) { impl_->late_ms = ms; }
 void EventBus::close() {
   asio::post(impl_->loop.io, [impl = impl_] {
     Error ignored;
--- a/src/standin/site.hpp
+++ b/src/standin/site.hpp
@@ -64,6 +64,8 @@
   std::uint64_t tell(bus::Event event);
   void purge(std::uint64_t object, std::int64_t at_ms);
   void purge_group(int group, std::int64_t at_ms);
+  // All that is told goes out so many milliseconds late, from now on.
+  void late(int ms);
   // Closes all connections and refuses new ones, or takes them again.
   void close();
   void open();
--- a/tests/cachebox_test.cpp
+++ b/tests/cachebox_test.cpp
@@ -571,6 +571,27 @@
   CHECK(box.counters().gaps == 0);
 }
 
+// Guards against a bus that is never heard while it is slow (review/9), and against a copy that outlives its
+// purge or is doubted for it.
+TEST_CASE("a slow event bus is heard, and what it tells leaves no gap") {
+  constexpr int kLateMs = 3700;
+  Site site;
+  BoxRun box({site.bus.port()});
+  known(site, box);
+  Asker asker(box.port());
+  REQUIRE(how(asker.ask(want(1))) == kFilled);
+  REQUIRE(how(asker.ask(want(2))) == kFilled);
+  site.bus.late(kLateMs);
+  std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  site.bus.purge(1, unix_ms());
+  CHECK(soon([&] { return box.counters().purges == 1; }, kLateMs + 500));
+  CHECK(how(asker.ask(look(1))) == kLack);
+  CHECK(soon([&] { return site.bus.connected() == 1; }));
+  CHECK(soon([&] { return box.proven(); }));
+  CHECK(how(asker.ask(look(2))) == kHit);
+  CHECK(box.counters().gaps == 0);
+}
+
 TEST_CASE("memory answers at once while the disk stalls, fills up or fails, and the box goes on") {
   Site site;
   Folder folder;
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -354,6 +354,32 @@
   }
 }
 
+// Guards against a bus that is never heard while it is slow, and a draining server that is used for as long
+// (review/9).
+TEST_CASE("A watch that becomes slow is kept until it or another tells something") {
+  constexpr milliseconds kLate(3700);
+  Site site;
+  site.start();
+  site.tell(2, site.depots[0].record(), "lists=2 ");
+  const auto silent = Clock::now();
+  Stream slow = std::move(site.bus);
+  Stream other = site.bus_joined();  // tried meanwhile, and as slow
+  pass(std::chrono::duration_cast<milliseconds>(silent + kLate - Clock::now()));
+  Depot drained = site.depots[1];
+  drained.state = 1;
+  slow.write(site.event(2, drained.record()));
+  Site::until(*site.program, "lists=3 ");
+  CHECK(other.ends());
+  for (int n = 0; n < 8; ++n) {
+    Stream client = site.client();
+    client.write(request(1, numbered(n)));
+    const Heard h = site.caches.next();
+    CHECK(h.depot == 0);
+    h.say("DONE", "remark=hit", "x");
+    CHECK(answer(client).body == "x");
+  }
+}
+
 TEST_CASE("A list that comes slowly in pieces is taken, and a frame that breaks off is not waited for") {
   Site site("", true, false);
   site.start();
--- a/tests/decisions_test.cpp
+++ b/tests/decisions_test.cpp
@@ -75,7 +75,7 @@
   for (const Case& c : cases) {
     CAPTURE(c.what);
     Continuity continuity(c.witness, c.any, 1000);
-    continuity.hello(false);
+    continuity.begun();
     for (const bus::Event& e : c.told) {
       CHECK_FALSE(continuity.heard(e).gap);
       CHECK(continuity.state(0) == Continuity::State::kUnproven);
@@ -88,7 +88,8 @@
 
 TEST_CASE("continuity over losses: known for a while, the new witness, a hole in the middle") {
   Continuity c({}, false, 1000);
-  CHECK(c.hello(true) == 0);
+  CHECK(c.ask_from(true) == 0);
+  c.begun();
   c.heard(list(1));
   c.heard(list(2));  // names no time: no witness
   c.heard({});
@@ -100,7 +101,8 @@
   c.lost(10'000);
   CHECK(c.state(11'000) == Continuity::State::kProven);
   CHECK(c.state(11'001) == Continuity::State::kUnproven);
-  CHECK(c.hello(false) == 3);
+  CHECK(c.ask_from(false) == 3);
+  c.begun();
   CHECK(c.state(10'500) == Continuity::State::kProven);  // until the proof comes or the time is over
   c.heard(list(4, 123));
   CHECK_FALSE(c.heard({}).gap);
@@ -108,12 +110,28 @@
   CHECK(c.heard(purge(7, 2, 3)).gap);  // 5 and 6 never came
   c.lost(100'000);
   // A bus that counts anew: its own numbers prove what comes later.
-  CHECK(c.hello(false) == 6);
+  CHECK(c.ask_from(false) == 6);
+  c.begun();
   c.heard(purge(7, 5, 500));
   CHECK(c.heard({}).gap);
   CHECK(c.witness() == purges::Witness{7, purges::digest_of(purge(7, 5, 500))});
 }
 
+TEST_CASE(
+    "continuity over a silence of the same connection: its next empty frame proves all, but for a hole") {
+  const bool hole = GENERATE(false, true);
+  Continuity c({}, false, 1000);
+  c.begun();
+  c.heard(list(1));  // names no time: there is no witness
+  c.heard({});
+  c.lost(10'000);
+  CHECK(c.state(11'001) == Continuity::State::kUnproven);
+  CHECK_FALSE(c.heard(purge(hole ? 3 : 2, 9, 77)).gap);
+  CHECK(c.state(11'001) == Continuity::State::kUnproven);  // more may be on its way
+  CHECK(c.heard({}).gap == hole);
+  CHECK(c.state(99'000) == Continuity::State::kProven);
+}
+
 TEST_CASE(
     "the ledger against a plain list of purges, in any order, bounded, and made again from its entries") {
   const bool good = rc::check("ledger", [] {
