Move the throttle on the origin out of control.cpp to src/decisions

It has a header with a contract and its constants, named one a line, beside the purges that bind. Nothing that it decides has changed: anisewick_tests (43), facade (6 cases) and crowd (6 scenes) pass as before (no sanitizers, arm64).

--- a/src/control.cpp
+++ b/src/control.cpp
@@ -1,7 +1,6 @@
 // The decisions of anisewick. Interface: include/anisewick/control.hpp.
 //
 // Map: tuned values / small helpers / Hotness (counting, heap, rounds) / Server (health, cold budget) /
-// Throttle (what a weak origin is still asked for) /
 // Impl: membership, purges, routing (edge cache), source choice, attempts, outcomes, the public calls.
 #include "anisewick/control.hpp"
 
@@ -11,6 +10,7 @@
 #include <utility>
 
 #include "anisewick/learned.hpp"
+#include "decisions/origin_throttle.hpp"
 #include "decisions/recent_purges.hpp"
 
 namespace anisewick {
@@ -51,20 +51,8 @@
 constexpr double kLateShare = 0.1;       // of fills; fewer late ones cut nothing
 constexpr double kLateSmooth = 0.06;     // weight of a fill in it: single late answers are no crowd
 constexpr double kLimitLeast = 2.0;      // requests of mean size, over the root of the location's fronts
-constexpr double kOriginMemory = 10.0;   // seconds over which what the origin gives is remembered
-constexpr double kLateOrigin = 0.1, kLateMemory = 0.5;  // an answer's least weight in the late share; seconds
-constexpr double kLinksSmooth = 0.15;                   // weight of an answer in that of the links
-constexpr double kWeak = 0.3;                           // a late share that makes weak
-constexpr double kFirstGain = 1.0, kPurgeGain = 2.0;  // of the usual, once it is weak; after a group's purge
-constexpr double kLeastGain = 0.1, kMostGain = 32.0;  // above the most it is asked freely again
-constexpr double kGainCut = 0.5;                      // when what was asked after the last cut is late too
-constexpr double kGainEach = 1.4;     // with each answer in time, or with as many as it gives in a second
-constexpr double kGainDoubles = 4.0;  // seconds
-constexpr double kMostTokens = 2.0, kTokensFor = 0.3;  // saved up: so many, or for so many seconds
-constexpr double kLeastUsual = 0.2;                    // answers a second, of a front that has seen none
-constexpr Time kFreeAfter = 2 * kSecond;               // without one held back it is asked freely again
-constexpr Time kForgotten = 10 * kSecond;              // so long without an answer, late ones are forgotten
-constexpr double kClearly = 2.0;  // this many times the other parent's time to first byte is slower
+constexpr double kLinksSmooth = 0.15;    // weight of an answer in the late share of the links
+constexpr double kClearly = 2.0;         // this many times the other parent's time to first byte is slower
 // What a refused client is told to stay away, at most. On sockets an overloaded centre kept more the longer
 // it was: 0.83, 0.87, 0.87, 0.88 for 0, 250, 500, 1,000 ms. The simulator's overloaded days lose up to 0.05.
 constexpr Time kComeBack = kSecond;
@@ -218,57 +206,6 @@
   }
 };
 
-// What the origin gives in time, and how much of it is asked for while it is weak or many copies have become
-// void. A front of many sees few of its answers: so what it usually gave is the measure, a purge of a group a
-// sign before any answer is late, and what it is asked for grows again with time as well as with answers.
-struct Throttle : Pace {
-  void advance(Time now) {
-    const double passed = static_cast<double>(now - at) / kSecond;
-    at = now;
-    if (gain <= 0.0) {
-      usual *= std::exp(-passed / kOriginMemory);
-      return;
-    }
-    gain *= std::exp2(passed / kGainDoubles);
-    const double rate = gain * std::max(usual, kLeastUsual);
-    tokens = std::min(std::max(kMostTokens, kTokensFor * rate), tokens + passed * rate);
-    const bool enough = now - denied_at > kFreeAfter && (late_share < kWeak || now - seen_at > kForgotten);
-    if (enough || gain > kMostGain) gain = 0.0;
-  }
-  void pace(Time now, double to, double first) {
-    advance(now);
-    if (gain <= 0.0) tokens = first * std::max(1.0, 2.0 * kTokensFor * to * usual);
-    gain = gain <= 0.0 ? to : std::min(gain, to);
-    denied_at = now;
-  }
-  void ended(Time now, Time sent, bool gave, double first) {
-    advance(now);
-    // What was seen long ago says little beside what is seen now: seldom answers weigh more each.
-    const double old = std::exp(-static_cast<double>(now - seen_at) / (kLateMemory * kSecond));
-    late_share += std::max(kLateOrigin, 1.0 - old) * ((gave ? 0.0 : 1.0) - late_share);
-    seen_at = now;
-    if (gave && gain <= 0.0) usual += 1.0 / kOriginMemory;
-    if (gave && gain > 0.0) gain *= std::pow(kGainEach, 1.0 / std::max(1.0, usual));
-    if (gave || late_share < kWeak || sent < cut_at) return;
-    pace(now, gain <= 0.0 ? kFirstGain : std::max(kLeastGain, kGainCut * gain), first);
-    cut_at = now;
-  }
-  bool paced(Time now) {
-    advance(now);
-    return gain > 0.0;
-  }
-  bool take(Time now) {
-    advance(now);
-    if (gain <= 0.0) return true;
-    if (tokens < 1.0) {
-      denied_at = now;
-      return false;
-    }
-    tokens -= 1.0;
-    return true;
-  }
-};
-
 struct Try {
   Server* server = nullptr;
   Server* source = nullptr;
@@ -307,7 +244,7 @@
   std::map<std::uint64_t, Held> held;
   std::set<std::pair<Time, std::uint64_t>> due;  // when each of them is wanted
   RecentPurges purges;
-  Throttle from_origin;
+  OriginThrottle from_origin;
   double links_late = 0.0;       // smoothed share of what parents held that came late
   double retries = kRetryStore;  // further attempts in hand: a crowd must not be answered with more load
   std::vector<std::pair<double, double>> class_work;  // per class: sum of sending times, requests
@@ -419,7 +356,7 @@
   // ---- Purges (rule 5): no copy older than the purge will do, for as long as one may be left anywhere.
   void purged(Time now, const Purge& p) {
     purges.add(p, now - p.age);
-    if (p.whole_group && p.age < kSecond) from_origin.pace(now, kPurgeGain, draw());
+    if (p.whole_group && p.age < kSecond) from_origin.purged(now, draw());
     purges.forget(now - s.purge_settle - kSecond);
   }
   // The oldest copy that will do; 0 only where no purge and no grace narrows or widens the default, and for
@@ -755,7 +692,8 @@
                                           (o.note == Note::kSourceRefused || o.note == Note::kSourceFailed));
     if (failed || o.note == Note::kFilledByOrigin) {
       const bool gave = ok && now <= h.wanted;
-      if (!t.overdue && (failed || gave || links_late < kWeak)) from_origin.ended(now, t.at, gave, draw());
+      if (!t.overdue && (failed || gave || links_late < kWeakShare))
+        from_origin.ended(now, t.at, gave, draw());
       if (failed) return;  // says nothing of the links
     }
     // What parents held comes late where the links are crowded: then lateness is no sign of a weak origin.
@@ -794,7 +732,7 @@
       if (t == nullptr || !t->open || !t->fill || t->server->answered < t->at || t->server->asked.out)
         continue;
       t->overdue = true;
-      if (!t->held_only && links_late < kWeak) from_origin.ended(now, t->at, false, draw());
+      if (!t->held_only && links_late < kWeakShare) from_origin.ended(now, t->at, false, draw());
       fill_late(now, *t);
     }
   }
