Ask a cold server's budget again when a request that waited goes out

What callers would see: a cold server whose connections come up late gets at once what was picked for it over seconds, and falls over.

Cause: the budget was charged at the pick and forgotten after a window, while what was charged still waited.

Fix: before a request is written the pool asks Order::may_begin. For a cold server or source the decisions move its charge to now; what does not fit any more is not sent, ends as one that never ran, and is decided again.

--- a/include/anisewick/control.hpp
+++ b/include/anisewick/control.hpp
@@ -193,6 +193,9 @@
   void probed(Time now, const std::string& server, Status status, const LoadReport& report, Actions& out);
   void told(Time now, int from, const std::string& bytes, Actions& out);
   void purged(Time now, const Purge& purge, Actions& out);
+  // Whether the open attempt of a request may still go out, later than it was decided; asked once, when its
+  // bytes could be written. False: it must not, and ends as `Status::kMoot`.
+  bool may_begin(Time now, std::uint64_t id);
   // The oldest copy that will do for a request whose attempt goes out now, later than it was decided; as
   // `Attempt::max_age`. 0 also for a request that is not open.
   Time max_age(Time now, std::uint64_t id) const;
--- a/src/control.cpp
+++ b/src/control.cpp
@@ -40,6 +40,7 @@
 constexpr std::size_t kMaxServers = 4096;  // known ones, before the gone are forgotten
 constexpr Time kTrial = 500 * kMs;    // one attempt in this time finds out whether an ejected one recovered
 constexpr double kColdMargin = 0.7;   // share of a cold budget that is used
+constexpr Time kPromptly = 20 * kMs;  // what goes out so soon counts from when it was decided
 constexpr double kRateMemory = 10.0;  // seconds over which a warm server's usual load is remembered
 constexpr double kRetryShare = 0.1;   // further attempts a request may cost, on average
 constexpr double kRetryStore = 10.0;  // and so many may be saved up
@@ -210,7 +211,8 @@
   Server* server = nullptr;
   Server* source = nullptr;
   Time at = 0;
-  double charged_source = 0.0;
+  Time charged_at = 0;  // what is charged to the budgets of server and source
+  double charged = 0.0, charged_source = 0.0;
   double work = 0.0;
   bool fill = true;        // a miss may be filled
   bool held_only = false;  // from what a parent holds, not by way of the origin
@@ -419,6 +421,32 @@
     return static_cast<double>(place) < many && server.sent.sum + work <= all / many;
   }
 
+  void charge(Try& t, Time now) {
+    t.charged_at = now;
+    t.server->sent.add(now, s.fall_window, t.charged);
+    if (t.charged_source > 0.0) t.source->sent.add(now, s.fall_window, t.charged_source);
+  }
+  void take_back_charge(const Try& t) {
+    t.server->sent.take_back(t.charged_at, t.charged);
+    if (t.charged_source > 0.0) t.source->sent.take_back(t.charged_at, t.charged_source);
+  }
+  // An attempt's bytes are about to go out. A cold server's budget is of what reaches it: what has waited for
+  // its connection counts from now on, and goes only if it still fits.
+  bool may_begin(Time now, Held& h) {
+    if (h.tries.empty() || !h.tries.back().open) return true;
+    Try& t = h.tries.back();
+    const bool source_counts = t.charged_source > 0.0;
+    const bool cold = cold_share(*t.server, now) < 1.0 || (source_counts && cold_share(*t.source, now) < 1.0);
+    if (!cold || now - t.charged_at <= kPromptly) return true;
+    take_back_charge(t);
+    if (fits(*t.server, now, t.charged) && (!source_counts || fits(*t.source, now, t.charged_source))) {
+      charge(t, now);
+      return true;
+    }
+    t.charged = t.charged_source = 0.0;
+    return false;
+  }
+
   // ---- Health: ejects the failing and the slow, at most half of a group, and lets a trickle through.
   bool usable(Server& server, Health Server::*role, const std::vector<Server*>& group, Time now) {
     Health& h = server.*role;
@@ -642,11 +670,9 @@
     t.source = source;
     t.at = now;
     const double mean = mean_work(h.r);
-    server->sent.add(now, s.fall_window, server->role == Role::kParent ? std::max(work_of(h.r), mean) : mean);
-    if (source != server && source->role != Role::kOrigin) {
-      t.charged_source = std::max(work_of(h.r), mean);
-      source->sent.add(now, s.fall_window, t.charged_source);
-    }
+    t.charged = server->role == Role::kParent ? std::max(work_of(h.r), mean) : mean;
+    if (source != server && source->role != Role::kOrigin) t.charged_source = std::max(work_of(h.r), mean);
+    charge(t, now);
     if (!free) retries -= 1.0;
     server->open += t.work;
     if (t.fill) {
@@ -741,7 +767,7 @@
     const bool ok = o.status == Status::kOk;
     const bool no_fill = o.note == Note::kHit || o.note == Note::kStale;
     if ((ok && no_fill) || o.status == Status::kConnectFailed || o.status == Status::kMoot) {
-      if (t.charged_source > 0.0) t.source->sent.take_back(t.at, t.charged_source);  // it was never asked
+      if (t.charged_source > 0.0) t.source->sent.take_back(t.charged_at, t.charged_source);  // never asked
       t.charged_source = 0.0;
     }
     if (o.status == Status::kCancelled || o.status == Status::kMoot || o.status == Status::kMiss) return;
@@ -838,6 +864,11 @@
 
 void Control::told(Time, int, const std::string&, Actions&) {}
 
+bool Control::may_begin(Time now, std::uint64_t id) {
+  const auto it = impl_->held.find(id);
+  return it != impl_->held.end() && impl_->may_begin(now, it->second);
+}
+
 Time Control::max_age(Time now, std::uint64_t id) const {
   const auto it = impl_->held.find(id);
   return it == impl_->held.end() ? 0 : impl_->max_age(now, it->second);
--- a/src/facade/facade.cpp
+++ b/src/facade/facade.cpp
@@ -127,6 +127,8 @@
   return impl_->step_for(now, ask.id);
 }
 
+bool Facade::may_begin(Time now, std::uint64_t id) { return impl_->control.may_begin(now, id); }
+
 Time Facade::oldest(Time now, std::uint64_t id) const { return impl_->control.max_age(now, id); }
 
 Step Facade::report(Time now, std::uint64_t id, const Report& report) {
--- a/src/facade/facade.hpp
+++ b/src/facade/facade.hpp
@@ -60,6 +60,9 @@
   Learned learned() const;
   void learn(const Learned& learned);
   Step pick(Time now, const Ask& ask);
+  // Whether the attempt of a request may still go out, later than it was picked: asked once, when its bytes
+  // could be written. False: it must not, and its end is reported as `End::kOver`.
+  bool may_begin(Time now, std::uint64_t id);
   // The oldest copy that will do for a request whose attempt goes out now, later than it was picked; 0: the
   // class's fresh time.
   Time oldest(Time now, std::uint64_t id) const;
--- a/src/links/upstream_pool.cpp
+++ b/src/links/upstream_pool.cpp
@@ -305,21 +305,27 @@
   void look() {
     if (!queue_.empty() && pool_.look_) pool_.look_();
   }
-  // What has waited for too long to be a repeat is not written: it could run a second time.
-  void drop_late() {
+  // None: it may go out now. What has waited for too long to be a repeat could run a second time.
+  static std::optional<End> barred(const Order& order) {
+    if (order.begin_by != 0 && steady_unix_now() >= order.begin_by) return End::kUnreached;
+    if (order.may_begin && !order.may_begin()) return End::kOver;
+    return std::nullopt;
+  }
+  // Leaves in front what is written next.
+  void drop_barred() {
     while (!queue_.empty()) {
       const auto it = items_.find(queue_.front().id);
-      if (it == items_.end() || it->second.order.begin_by == 0 ||
-          steady_unix_now() < it->second.order.begin_by)
-        return;
+      if (it == items_.end()) return;
+      const auto end = barred(it->second.order);
+      if (!end) return;
       queue_.pop_front();
-      pool_.fail_later(it->second.handle, std::move(it->second.done));
+      pool_.end_later(it->second.handle, std::move(it->second.done), *end);
       items_.erase(it);
     }
   }
   void pump() {
     if (!up_ || writing_ || closed_) return;
-    drop_late();
+    drop_barred();
     if (queue_.empty()) return;
     writing_ = true;
     now_ = std::move(queue_.front());
@@ -528,15 +534,15 @@
 void UpstreamPool::dispatch(Handle handle, Order&& order, Done&& done) {
   const auto it = depots_.find(order.depot);
   const auto link = it != depots_.end() && ready(order.depot) ? link_for(it->second, order.id) : nullptr;
-  if (link == nullptr) return fail_later(handle, std::move(done));
+  if (link == nullptr) return end_later(handle, std::move(done), End::kUnreached);
   open_[handle] = {link, order.id};
   link->send(handle, std::move(order), std::move(done));
 }
 
-void UpstreamPool::fail_later(Handle handle, Done&& done) {
+void UpstreamPool::end_later(Handle handle, Done&& done, End end) {
   open_[handle] = {nullptr, {}};
-  asio::post(io_, [this, handle, done = std::move(done)] {
-    if (open_.erase(handle) > 0) done(ended(End::kUnreached));
+  asio::post(io_, [this, handle, end, done = std::move(done)] {
+    if (open_.erase(handle) > 0) done(ended(end));
   });
 }
 
--- a/src/links/upstream_pool.hpp
+++ b/src/links/upstream_pool.hpp
@@ -37,6 +37,9 @@
     // Makes the request's bytes in the moment in which they go out: the time it tells is what is left then.
     std::function<std::string()> bytes;
     depot::RequestFacts facts;  // what its answer has to agree with
+    // Asked once, when its bytes could go out. False: it is not sent any more, and its end is kOver. None: it
+    // may go out whenever it can.
+    std::function<bool()> may_begin;
     // By steady_unix_now: not written from then on, but unreached; 0: no such bound.
     std::int64_t begin_by = 0;
     std::uint64_t tag = 0;  // of the caller's own
@@ -90,8 +93,8 @@
   std::shared_ptr<Link> other_link(depot::Id depot, const std::string& id, bool may_open);
   std::shared_ptr<Link> open_link(Known& known);
   void dispatch(Handle handle, Order&& order, Done&& done);
-  // Ends it as unreached, but not from within this call.
-  void fail_later(Handle handle, Done&& done);
+  // Ends it without having been sent, but not from within this call.
+  void end_later(Handle handle, Done&& done, End end);
 
   asio::io_context& io_;
   Counters& counters_;
--- a/src/net/doorman.cpp
+++ b/src/net/doorman.cpp
@@ -216,6 +216,7 @@
   };
   UpstreamPool::Order order{step.depot, step.source, call.id, bytes, {}};
   order.facts.seen = call.tag;
+  order.may_begin = [this, ticket] { return facade_.may_begin(steady_unix_now(), ticket); };
   order.begin_by = step.begin_by;
   order.tag = ticket;
   open.sent = depots_.send(std::move(order),
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -379,6 +379,29 @@
   EXPECT_GT(warm, 100);
 }
 
+// What is decided over several windows and goes out in one, since its connections came up late.
+TEST(Rule4, WhatHasWaitedForAColdCacheKeepsToItsBudgetWhenItGoesOut) {
+  Settings s = base();
+  s.scales = Scales::kNominal;
+  Front f(s, {cache("a", 100 * kSec), parent("p"), kOrigin});
+  std::vector<std::uint64_t> waiting;
+  for (std::uint64_t o = 0; o < 400; ++o) {  // over four windows
+    f.ask(o);
+    if (f.attempted()) waiting.push_back(f.id);
+    f.now += 10 * kMs;
+  }
+  const double budget = 2.0 * (0.2 + 0.8 * 4.0 / 10.0) * 1.0;  // seconds of work, at the end
+  EXPECT_GT(0.1 * static_cast<double>(waiting.size()), budget);
+  double work = 0.0;
+  for (const std::uint64_t id : waiting) work += f.control.may_begin(f.now, id) ? 0.1 : 0.0;
+  EXPECT_GT(work, 0.0);
+  EXPECT_LE(work, budget);
+  f.id = waiting.back();
+  f.tries = 0;
+  f.end(Status::kMoot);
+  EXPECT_FALSE(f.failed());  // it never ran: it is tried elsewhere or refused
+}
+
 TEST(Rule4, AColdParentGetsNoMoreFillsThanItsBudget) {
   Settings s = base();
   s.scales = Scales::kNominal;
--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -626,6 +626,53 @@
   CHECK(answer(client).body == "new");
 }
 
+namespace {
+
+// The most requests that came to the server within one second of the next two, on any connection.
+int most_in_a_second(Listener& listener) {
+  std::vector<Stream> streams;
+  std::deque<Clock::time_point> came;
+  std::size_t most = 0;
+  const auto end = Clock::now() + milliseconds(2'000);
+  while (Clock::now() < end) {
+    if (readable(listener.fd(), 1)) streams.push_back(listener.accept());
+    for (Stream& stream : streams) {
+      while (stream.more(0)) {
+      }
+      while (stream.buffered()) {
+        if (stream.line().starts_with("fetch ")) came.push_back(Clock::now());
+      }
+    }
+    while (!came.empty() && Clock::now() - came.front() > milliseconds(1'000)) came.pop_front();
+    most = std::max(most, came.size());
+  }
+  return static_cast<int>(most);
+}
+
+}  // namespace
+
+// Guards against a cold server that gets at once what was picked for it over seconds: each second's share had
+// been within the budget by itself.
+TEST_CASE("What has waited for a cold server's late connections keeps to its budget when it goes out") {
+  constexpr double kCalls = 3.0 * 0.2 / (412.5 / 10'500.0);  // of mean work that the settings allow a second
+  const double most = kCalls + 3.0 * std::sqrt(kCalls) + 3.0;  // FAULTS, term 1
+  Site site;
+  site.depots[0].born_ms = now_ms();
+  LateServer server(site);
+  const Stream filler = server.fill_queue();
+  site.change("\"connect_timeout\":400000000", "\"connect_timeout\":9000000000");
+  site.start();
+  std::vector<Stream> clients;
+  for (int n = 0; n < 120; ++n) {  // over 3.6 s; what is beyond the budget is refused at once
+    clients.push_back(site.client());
+    clients.back().write(request(1, numbered(n)));
+    pass(milliseconds(30));
+  }
+  server.listener.accept();  // the filler: there is room in the queue now
+  ::listen(server.listener.fd(), 64);
+  CHECK(most_in_a_second(server.listener) <= most);
+}
+
 TEST_CASE("A repeat that waits for its connection past the time in which it is known as one is not sent") {
   Site site;
   Listener full;  // connections to the first cache server do not come up
