Ask once in crossing_test who serves while the second server drains

Two cases on discovery had the same eight requests and checks; they stand in one function now, and nothing else has changed.

--- a/tests/crossing_test.cpp
+++ b/tests/crossing_test.cpp
@@ -332,6 +332,22 @@
 
 // ---- Discovery
 
+namespace {
+
+// The second cache server drains.
+void check_only_the_first_serves(Site& site) {
+  for (int n = 0; n < 8; ++n) {
+    Stream client = site.client();
+    client.write(request(1, numbered(n)));
+    const Heard h = site.caches.next();
+    CHECK(h.depot == 0);
+    h.say("DONE", "remark=hit", "x");
+    CHECK(answer(client).body == "x");
+  }
+}
+
+}  // namespace
+
 TEST_CASE("A watch that falls silent is opened again from the last number") {
   Site site;
   site.start();
@@ -344,14 +360,7 @@
   Depot drained = site.depots[1];
   drained.state = 1;
   site.tell(2, drained.record(), "lists=3 ");
-  for (int n = 0; n < 8; ++n) {
-    Stream client = site.client();
-    client.write(request(1, numbered(n)));
-    const Heard h = site.caches.next();
-    CHECK(h.depot == 0);
-    h.say("DONE", "remark=hit", "x");
-    CHECK(answer(client).body == "x");
-  }
+  check_only_the_first_serves(site);
 }
 
 // Guards against a bus that is never heard while it is slow, and a draining server that is used for as long
@@ -370,14 +379,7 @@
   slow.write(site.event(2, drained.record()));
   Site::until(*site.program, "lists=3 ");
   CHECK(other.ends());
-  for (int n = 0; n < 8; ++n) {
-    Stream client = site.client();
-    client.write(request(1, numbered(n)));
-    const Heard h = site.caches.next();
-    CHECK(h.depot == 0);
-    h.say("DONE", "remark=hit", "x");
-    CHECK(answer(client).body == "x");
-  }
+  check_only_the_first_serves(site);
 }
 
 TEST_CASE("A list that comes slowly in pieces is taken, and a frame that breaks off is not waited for") {
