--- a/src/net/doorman.cpp
+++ b/src/net/doorman.cpp
@@ -214,7 +214,11 @@
     const Time oldest = facade_.oldest(written_at, ticket);
     return depot::fetch_bytes(fetch_of(call, step, oldest, written_at));
   };
-  UpstreamPool::Order order{step.depot, step.source, call.id, bytes, {}};
+  UpstreamPool::Order order;
+  order.depot = step.depot;
+  order.source = step.source;
+  order.id = call.id;
+  order.bytes = bytes;
   order.facts.seen = call.tag;
   order.may_begin = [this, ticket] { return facade_.may_begin(steady_unix_now(), ticket); };
   order.begin_by = step.begin_by;
