--- a/tests/cachebox_test.cpp
+++ b/tests/cachebox_test.cpp
@@ -585,7 +585,7 @@
   site.bus.late(kLateMs);
   std::this_thread::sleep_for(std::chrono::milliseconds(5));
   site.bus.purge(1, unix_ms());
-  CHECK(soon([&] { return box.counters().purges == 1; }, kLateMs + 1500));  // by the first watch
+  CHECK(soon([&] { return box.counters().purges == 1; }, kLateMs + 500));  // by the first watch
   CHECK(how(asker.ask(look(1))) == kLack);
   CHECK(soon([&] { return site.bus.connected() == 1; }));
   CHECK(soon([&] { return box.proven(); }));
